--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the decision code of parsleyrudder and the network."""
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: tasks around the decision code, and the application object."""
