Add parsleyctl and the demo

Cause: operators had no way to edit the lists, and a newcomer no way to see the fleet at work. Change: parsleyctl validates, diffs, fetches and submits both lists in one conditional transaction, settles lost answers under the submission's id, shows history, audit and status, and drains. Routers answer GET /v1/plan with the limits that they enforce.

--- /dev/null
+++ b/packages/parsleyctl/parsleyctl/files.py
@@ -0,0 +1,85 @@
+"""The two lists as files for version control.
+
+A fetched file opens with the version that it was fetched from; a submission is based on it.
+"""
+
+import re
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+import tomli_w
+from parsleyrudder import Config, ListError, check_config, parse_members, parse_plans
+from parsleyrudder.lists.parse import MEMBERS_FILE, PLANS_FILE
+
+__all__ = ["base_version", "read_lists", "render_members", "render_plans", "write_lists"]
+
+_VERSION_LINE = re.compile(r"# version (\d+)\b")
+
+
+def read_lists(folder: Path, pools: frozenset[str] | None = None) -> Config:
+    """Read and check both lists.
+
+    :param folder: folder with ``members.toml`` and ``plans.toml``.
+    :param pools: pools that the fleet serves; None leaves the names unchecked.
+    :raises ExceptionGroup: with every fault of both lists.
+    """
+    faults: list[Exception] = []
+    members, plans = [], []
+    try:
+        members = parse_members(_text(folder / MEMBERS_FILE))
+    except* ListError as group:
+        faults += group.exceptions
+    try:
+        plans = parse_plans(_text(folder / PLANS_FILE))
+    except* ListError as group:
+        faults += group.exceptions
+    if faults:
+        raise ExceptionGroup("the lists are refused", faults)
+    return check_config(members, plans, pools)
+
+
+def base_version(folder: Path) -> int | None:
+    """Return the version that both files were fetched from, or None if they do not say.
+
+    :raises ListError: if the files name different versions.
+    """
+    versions = set()
+    for name in (MEMBERS_FILE, PLANS_FILE):
+        match = _VERSION_LINE.match(_text(folder / name))
+        if match:
+            versions.add(int(match.group(1)))
+    if len(versions) > 1:
+        text = f"the files were fetched from different versions {sorted(versions)}"
+        raise ListError(str(folder), text, "fetch both again and repeat the change")
+    return versions.pop() if versions else None
+
+
+def write_lists(folder: Path, config: Config) -> None:
+    """Write both lists of a configuration."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / MEMBERS_FILE).write_text(render_members(config), encoding="utf-8")
+    (folder / PLANS_FILE).write_text(render_plans(config), encoding="utf-8")
+
+
+def render_members(config: Config) -> str:
+    """Return ``members.toml``, sorted by name so that differences stay small."""
+    return _render("member", config.version, config.member_by_name)
+
+
+def render_plans(config: Config) -> str:
+    """Return ``plans.toml``, sorted by name."""
+    return _render("plan", config.version, config.plan_by_name)
+
+
+def _render(key: str, version: int, row_by_name: Mapping[str, msgspec.Struct]) -> str:
+    rows = [msgspec.to_builtins(row_by_name[name]) for name in sorted(row_by_name)]
+    return f"# version {version}\n\n" + tomli_w.dumps({key: rows})
+
+
+def _text(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = ListError(str(path), str(error), "name a folder with both lists, in UTF-8")
+        raise ExceptionGroup("the lists are refused", [fault]) from None
--- /dev/null
+++ b/packages/parsleyctl/parsleyctl/output.py
@@ -0,0 +1,59 @@
+"""Output of parsleyctl: tables for people, JSON for programs."""
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["Output"]
+
+_WIDTH_WITHOUT_TERMINAL = 120
+
+
+class Output:
+    """Where results and errors go.
+
+    :param as_json: print one JSON document instead of tables and sentences.
+    """
+
+    def __init__(self, as_json: bool) -> None:
+        self.as_json = as_json
+        width = None if sys.stdout.isatty() else _WIDTH_WITHOUT_TERMINAL
+        self._console = Console(width=width, highlight=False)
+
+    def result(self, document: Any, lines: Iterable[str]) -> None:
+        """Print a result."""
+        if self.as_json:
+            print(json.dumps(document, indent=2, sort_keys=True))
+            return
+        for line in lines:
+            print(line)
+
+    def table(self, title: str, columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+        """Print a table, for people only."""
+        if self.as_json:
+            return
+        table = Table(title=title, title_justify="left", box=None, pad_edge=False)
+        for column in columns:
+            table.add_column(column, overflow="fold")
+        for row in rows:
+            table.add_row(*(str(cell) for cell in row))
+        self._console.print(table)
+
+    def errors(self, errors: Iterable[BaseException]) -> None:
+        """Print errors, one a line, to standard error."""
+        for error in errors:
+            print(f"parsleyctl: {error}", file=sys.stderr)
+
+    def progress(self, text: str) -> None:
+        """Show how far a long operation is, on a terminal only."""
+        if sys.stderr.isatty():
+            print(f"\r\x1b[K{text}", end="", file=sys.stderr, flush=True)
+
+    def progress_done(self) -> None:
+        """Remove the progress line."""
+        if sys.stderr.isatty():
+            print("\r\x1b[K", end="", file=sys.stderr, flush=True)
--- a/packages/parsleyrudder/parsleyrudder/lists/layout.py
+++ b/packages/parsleyrudder/parsleyrudder/lists/layout.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..table import Compare, Put, Range, Row, Txn, TxnResult
-from .difference import Difference, apply_difference, difference
+from .difference import Difference, apply_difference, describe, difference
 from .model import Config, Member, Plan
 
 __all__ = [
@@ -47,6 +47,7 @@
     """Audit record of one accepted version.
 
     :ivar time: seconds since the epoch, by the operator's clock.
+    :ivar changes: one line per changed row, for people.
     """
 
     version: int
@@ -54,6 +55,7 @@
     time: float
     submission: str
     diff: Difference
+    changes: tuple[str, ...] = ()
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -126,7 +128,7 @@
     diff = difference(base, new)
     version = base.version + 1
     target = apply_difference(base, diff, version)
-    entry = LogEntry(version, author, time, submission, diff)
+    entry = LogEntry(version, author, time, submission, diff, tuple(describe(diff, base)))
     puts = [
         Put(HEAD_KEY, msgspec.json.encode(Head(version, submission))),
         Put(_log_key(version), msgspec.json.encode(entry)),
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
@@ -77,6 +77,8 @@
             self._refuse(exchange, failure("unauthorized", "no listed key was given"))
         elif path == "/v1/chat/completions":
             self._chat(exchange, member)
+        elif path == "/v1/plan":
+            self._plan(exchange, member)
         elif path.startswith("/svc/"):
             self._service(exchange, member, request.target)
         else:
@@ -110,6 +112,17 @@
         body = exchange.request.body
         EngineCall(self._context, pool, exchange, waiting, call, chat, body).begin()
 
+    def _plan(self, exchange: CallerExchange, member: Member) -> None:
+        """Answer which limits this router enforces for the member."""
+        config = self._context.config
+        document = {
+            "member": member.name,
+            "share": member.share,
+            "config_version": config.version,
+            "plan": config.plan_by_name[member.plan],
+        }
+        exchange.answer_json(200, msgspec.json.encode(document))
+
     def _service(self, exchange: CallerExchange, member: Member, target: str) -> None:
         name, _, rest = target.removeprefix("/svc/").partition("/")
         pool = self._pool_by_name.get(name)
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
@@ -56,7 +56,7 @@
         if time.monotonic() < self._until and self._addresses:
             return self._addresses[0]
         for entry in [*self._addresses, *self._entry]:
-            result = await self._exchange(entry, "GET", f"/v1/addresses?caller={self.member}", {})
+            result = await self.exchange(entry, "GET", f"/v1/addresses?caller={self.member}", {})
             if result.status == 200:
                 document = json.loads(result.body)
                 urls = [item["url"] for item in document["addresses"]]
@@ -88,7 +88,7 @@
         headers = {"X-Class": "batch" if options.get("batch") else "interactive"}
         data = json.dumps(body).encode()
         address = options.get("address") or await self.address()
-        return await self._exchange(address, "POST", "/v1/chat/completions", headers, data, id)
+        return await self.exchange(address, "POST", "/v1/chat/completions", headers, data, id)
 
     async def service(
         self, id: str, method: str, pool: str, path: str, **options: Any
@@ -100,17 +100,18 @@
         headers = {"Idempotency-Key": options["key"]} if options.get("key") else {}
         address = options.get("address") or await self.address()
         body = options.get("body", b"{}") if method == "POST" else b""
-        return await self._exchange(address, method, f"/svc/{pool}{path}", headers, body, id)
+        return await self.exchange(address, method, f"/svc/{pool}{path}", headers, body, id)
 
-    async def _exchange(
+    async def exchange(
         self,
         address: str,
         method: str,
         target: str,
-        headers: dict[str, str],
+        headers: dict[str, str] | None = None,
         body: bytes = b"",
         id: str = "",
     ) -> CallResult:
+        """Send one request with the member's key and read the whole answer."""
         result = CallResult(id, self.member)
         begun = time.monotonic()
         host, _, port = address.partition(":")
@@ -125,7 +126,7 @@
                 "Authorization": f"Bearer {member_key(self.member)}",
                 "Content-Length": str(len(body)),
                 "Connection": "close",
-                **headers,
+                **(headers or {}),
             }
             if id:
                 fields["X-Request-Id"] = id
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/table.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/table.py
@@ -47,7 +47,9 @@
         if self._mode == "slow":
             await asyncio.sleep(self._delay_s)
         if request.path == "/v3/kv/txn":
-            document, wrote = self._txn(request.json())
+            writes = self.writes
+            document = self.txn(request.json())
+            wrote = self.writes > writes
         elif request.path == "/v3/kv/range":
             document, wrote = self._range(request.json()), False
         else:
@@ -58,7 +60,8 @@
             return
         await reply.send_json(200, document)
 
-    def _txn(self, body: dict[str, Any]) -> tuple[dict[str, Any], bool]:
+    def txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Run a transaction and return the answer's document."""
         succeeded = all(self._holds(compare) for compare in body.get("compare", ()))
         operations = body.get("success" if succeeded else "failure", ())
         writes = [op for op in operations if "requestPut" in op or "requestDeleteRange" in op]
@@ -69,7 +72,7 @@
         document = {"header": self._header(), "succeeded": succeeded, "responses": responses}
         if not succeeded:
             del document["succeeded"]
-        return document, bool(writes)
+        return document
 
     def _holds(self, compare: dict[str, Any]) -> bool:
         if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
