Decide on orders to engines and on placement of spare engines

Cause: engines must be told which model and version to hold, by one decider whose stale orders do no harm. Decision code only; no daemon task uses it yet.

--- a/packages/parsleyrudder/parsleyrudder/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/__init__.py
@@ -4,13 +4,25 @@
 messages and the time in seconds, and return typed messages.
 """
 
-from . import delivery, errors, lists, membership, messages, outcomes, routing, sharing, table
+from . import (
+    delivery,
+    errors,
+    lists,
+    membership,
+    messages,
+    outcomes,
+    placement,
+    routing,
+    sharing,
+    table,
+)
 from .delivery import *  # noqa: F403
 from .errors import *  # noqa: F403
 from .lists import *  # noqa: F403
 from .membership import *  # noqa: F403
 from .messages import *  # noqa: F403
 from .outcomes import *  # noqa: F403
+from .placement import *  # noqa: F403
 from .routing import *  # noqa: F403
 from .sharing import *  # noqa: F403
 from .table import *  # noqa: F403
@@ -22,6 +34,7 @@
     *membership.__all__,
     *messages.__all__,
     *outcomes.__all__,
+    *placement.__all__,
     *routing.__all__,
     *sharing.__all__,
     *table.__all__,
--- /dev/null
+++ b/packages/parsleyrudder/parsleyrudder/placement/tests/test_placement.py
@@ -0,0 +1,96 @@
+"""Guards orders against storms and spares against moving with every change of load."""
+
+import pytest
+from parsleyrudder import (
+    EngineState,
+    Loaded,
+    Order,
+    OrderRules,
+    Placement,
+    PlacementState,
+    Reconciler,
+    SparePlanner,
+)
+
+OLD, NEW = Loaded("chat", "1"), Loaded("chat", "2")
+IDLE = EngineState(OLD)
+
+
+@pytest.mark.parametrize(
+    ("states", "expected"),
+    [
+        ({"e1": IDLE, "e2": IDLE}, ["e1"]),
+        ({"e1": EngineState(NEW), "e2": IDLE}, ["e2"]),
+        ({"e1": EngineState(OLD, loading=NEW), "e2": IDLE}, []),
+        ({"e1": EngineState(NEW), "e2": EngineState(NEW)}, []),
+        ({"e2": IDLE}, ["e2"]),
+        ({}, []),
+    ],
+)
+def test_engines_are_reloaded_one_at_a_time(states, expected):
+    orders = Reconciler().due({"e1": NEW, "e2": NEW}, states, 7, 100.0)
+    assert orders == [Order(server, 7, NEW) for server in expected]
+
+
+def test_order_without_effect_is_repeated_but_not_at_once():
+    reconciler = Reconciler()
+    wanted, states = {"e1": NEW}, {"e1": IDLE}
+    counts = [len(reconciler.due(wanted, states, 1, now)) for now in (0.0, 5.0, 9.9, 10.0, 15.0)]
+    assert counts == [1, 0, 0, 1, 0]
+
+
+def test_weight_store_rate_is_kept():
+    reconciler = Reconciler(OrderRules(loads_per_minute=3, loads_at_once=100))
+    servers = {f"e{i}": NEW for i in range(9)}
+    states = dict.fromkeys(servers, IDLE)
+    counts = [len(reconciler.due(servers, states, 1, now)) for now in (0.0, 30.0, 60.0)]
+    assert counts == [3, 0, 3]
+
+
+def run_planner(planner, rows, backlog_by_pool, times, state=None):
+    """Return the moves of each step, applying them to the rows."""
+    wanted = {"a": Loaded("a"), "b": Loaded("b")}
+    state = state or {}
+    result = []
+    for now in times:
+        for pool, backlog_s in backlog_by_pool.items():
+            planner.on_backlog(pool, backlog_s, now)
+        moves = planner.step(rows, state, wanted, now)
+        rows.update((move.server, move.new) for move in moves)
+        result.append([(move.server, move.new.pool, move.new.state) for move in moves])
+    return result
+
+
+@pytest.mark.parametrize(
+    ("row", "backlogs", "expected"),
+    [
+        (Placement(), {"a": 20.0, "b": 0.0}, [("s", "a", PlacementState.LOADING)]),
+        (Placement("b"), {"a": 20.0, "b": 0.0}, [("s", "b", PlacementState.DRAINING)]),
+        (Placement("b"), {"a": 20.0, "b": 5.0}, []),
+        (Placement("a"), {"a": 20.0, "b": 0.0}, []),
+        (Placement("b"), {"a": 5.0, "b": 0.0}, []),
+    ],
+)
+def test_spare_goes_where_work_waits_and_is_not_taken_from_a_busy_pool(row, backlogs, expected):
+    planner, rows = SparePlanner(), {"s": row}
+    moves = run_planner(planner, rows, backlogs, range(0, 200, 5))
+    assert [move for step in moves for move in step][:1] == expected
+
+
+def test_short_peak_moves_nothing():
+    planner, rows = SparePlanner(), {"s": Placement()}
+    run_planner(planner, rows, {"a": 20.0}, range(0, 15, 5))
+    assert run_planner(planner, rows, {"a": 5.0}, range(15, 100, 5)) == [[]] * 17
+    assert run_planner(planner, rows, {"a": 20.0}, range(100, 115, 5)) == [[]] * 3
+
+
+def test_move_waits_for_running_calls_and_for_the_load():
+    planner = SparePlanner()
+    rows = {"s": Placement("b", PlacementState.DRAINING, "a")}
+    busy = {"s": EngineState(Loaded("b"), running=1)}
+    idle = {"s": EngineState(Loaded("b"))}
+    done = {"s": EngineState(Loaded("a"))}
+    assert run_planner(planner, rows, {}, [0], busy) == [[]]
+    assert run_planner(planner, rows, {}, [1], idle) == [[("s", "a", PlacementState.LOADING)]]
+    assert run_planner(planner, rows, {}, [2], idle) == [[]]
+    assert run_planner(planner, rows, {}, [3], done) == [[("s", "a", PlacementState.SERVING)]]
