Add the baselines and the measurement tool

The design asks for figures of the fairness gap and of utilisation next to those of first come first served, fair queueing per router, a static split and a central queue. A pool setting selects the policy; the engine stand-in counts tokens per member, so that the counts outlive restarts of routers.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES := parsleyrudder parsleyrudder_adapters parsleyrudder_daemon parsleyctl parsleyrudder_standins
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo test check format
+.PHONY: demo measure test check format
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,11 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m parsleyrudder_standins.demo --deployment=$(DEPLOYMENT)
 
+# Further options in MEASURE, such as MEASURE="--policy=all --fault=none --plot=out.png".
+measure: $(VENV)/.installed
+	$(BIN)/python -m parsleyrudder_standins.measure --deployment=$(DEPLOYMENT) \
+		--seconds=$(SECONDS) --seed=$(SEED) $(MEASURE)
+
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
 
--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -1,6 +1,7 @@
 """Division of serving capacity between members: costs, queues, portions, coordination."""
 
 from .authority import CoordinatorLease, LeaseRecord, LeaseRules, is_majority
+from .baselines import POLICY_BY_NAME, SharingPolicy, divide_evenly
 from .coordination import Coordinator, PoolRules
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
@@ -11,6 +12,7 @@
 from .totals import ServiceTotals
 
 __all__ = [
+    "POLICY_BY_NAME",
     "Choose",
     "Claim",
     "Coordinator",
@@ -29,9 +31,11 @@
     "Portions",
     "SchedulerRules",
     "ServiceTotals",
+    "SharingPolicy",
     "TokenBucket",
     "WaitingCall",
     "allocate",
+    "divide_evenly",
     "is_majority",
     "normalised_shares",
     "split",
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-from parsleyrudder import SettingsError
+from parsleyrudder import POLICY_BY_NAME, SettingsError
 
 from .guard import GuardLimits
 
@@ -115,6 +115,7 @@
     :ivar default_cost: expected cost of a call as long as nothing is known.
     :ivar largest_cost: largest cost that one call may have.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
+    :ivar policy: how slots are shared; all but ``fair`` are baselines for measurements.
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
     """
 
@@ -129,6 +130,7 @@
     portion_lease_s: float = 5.0
     max_call_s: float = 120.0
     interactive_reserve: float = 0.0
+    policy: str = "fair"
     load_interval_s: float = 1.0
     orders_fenced: bool = True
     routes: tuple[RouteSettings, ...] = ()
@@ -205,6 +207,8 @@
         place = f"pools[{i}]"
         kinds = ("engine", "service")
         check(pool.kind in kinds, f"{place}.kind", pool.kind, "use engine or service")
+        policies = sorted(POLICY_BY_NAME)
+        check(pool.policy in policies, f"{place}.policy", pool.policy, f"use one of {policies}")
         check(bool(pool.servers), f"{place}.servers", [], "name at least one server")
         reserve = pool.interactive_reserve
         check(0 <= reserve < 1, f"{place}.interactive_reserve", reserve, "use 0 up to below 1")
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from parsleyrudder import (
+    POLICY_BY_NAME,
     Coordinator,
     CoordinatorLease,
     CostEstimator,
@@ -16,7 +17,6 @@
     Failure,
     Grant,
     PoolRules,
-    PoolScheduler,
     Report,
     RetryBudget,
     SchedulerRules,
@@ -72,7 +72,8 @@
             ServerInfo(s.id, settings.name, s.address, s.failure_domain, s.window)
             for s in settings.servers
         ]
-        self.scheduler = PoolScheduler(
+        self._policy = POLICY_BY_NAME[settings.policy]
+        self.scheduler = self._policy.scheduler(
             context.name,
             context.incarnation,
             settings.name,
@@ -230,7 +231,7 @@
             return
         now = self._context.now()
         settings = self.settings
-        self.coordinator = Coordinator(
+        self.coordinator = self._policy.coordinator(
             self._context.name,
             self.name,
             self.lease.epoch,
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
@@ -80,6 +80,7 @@
         """
         body = {
             "model": pool,
+            "user": self.member,
             "stream": options.get("stream", True),
             "max_tokens": max_tokens,
             "exact_tokens": options.get("exact", False),
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 import zlib
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 _LOAD_LAG_S = 0.5
 _DEFAULT_TOKENS = 32
+_CHARS_PER_TOKEN = 4
 
 
 class EngineStandIn:
@@ -40,6 +42,7 @@
         self.most_running = 0
         self.executions: dict[str, int] = {}
         self.orders: list[dict[str, Any]] = []
+        self._service = _Service()
 
     async def report_load(self) -> None:
         """Keep the load report behind the truth, for ever."""
@@ -66,6 +69,8 @@
         elif request.path == "/standin/counts":
             counts = {"executions": self.executions, "most_running": self.most_running}
             await reply.send_json(200, counts)
+        elif request.path == "/standin/service":
+            await reply.send_json(200, self._service.document())
         else:
             await reply.send_json(404, {"error": "not found"})
 
@@ -88,11 +93,14 @@
             self.waiting -= 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
+        user = body.get("user", "")
+        self._service.change_running(user, 1)
         try:
             first = int(request.headers.get("x-resume-from", 0))
             await self._stream(body, id, first, reply)
         finally:
             self.running -= 1
+            self._service.change_running(user, -1)
             self._slots.release()
 
     async def _stream(self, body: dict[str, Any], id: str, first: int, reply: Reply) -> None:
@@ -103,6 +111,7 @@
             if self._mode == "cut" and index - first >= self._after:
                 reply.cut()
                 return
+            self._service.count(body, index == first)
             choice = {"index": 0, "delta": {"content": f"w{index} "}, "finish_reason": None}
             await _write_event(reply, {"id": id, "choices": [choice]})
         choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
@@ -120,6 +129,54 @@
         await reply.send_json(200, {"fence": self._fence})
 
 
+class _Service:
+    """Work done so far, for measurements; a request's field ``user`` names its member.
+
+    The counts outlive restarts of routers, which those of the routers do not.
+    """
+
+    def __init__(self) -> None:
+        self._tokens_by_user: dict[str, int] = {}
+        self._prompt_tokens_by_user: dict[str, int] = {}
+        self._running_by_user: dict[str, int] = {}
+        self._busy_slot_s = 0.0
+        self._changed_at = time.monotonic()
+        self._started = 0
+
+    def change_running(self, user: str, step: int) -> None:
+        """Note the begin (1) or end (-1) of a request's run."""
+        self._integrate()
+        self._running_by_user[user] = self._running_by_user.get(user, 0) + step
+        self._started += max(0, step)
+
+    def count(self, body: dict[str, Any], is_first: bool) -> None:
+        """Count one token, and with the first the prompt."""
+        user = body.get("user", "")
+        self._tokens_by_user[user] = self._tokens_by_user.get(user, 0) + 1
+        if is_first:
+            chars = sum(len(message["content"]) for message in body["messages"])
+            known = self._prompt_tokens_by_user.get(user, 0)
+            self._prompt_tokens_by_user[user] = known + max(1, chars // _CHARS_PER_TOKEN)
+
+    def document(self) -> dict[str, Any]:
+        """Return all counts as plain data."""
+        self._integrate()
+        return {
+            "tokens": self._tokens_by_user,
+            "prompt_tokens": self._prompt_tokens_by_user,
+            "running": self._running_by_user,
+            "busy_slot_s": self._busy_slot_s,
+            "started": self._started,
+            "at": self._changed_at,
+        }
+
+    def _integrate(self) -> None:
+        now = time.monotonic()
+        running = sum(self._running_by_user.values())
+        self._busy_slot_s += running * (now - self._changed_at)
+        self._changed_at = now
+
+
 def tokens_of(body: dict[str, Any]) -> int:
     """Return the number of tokens that a request gets, from 1 to ``max_tokens``.
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -133,6 +133,10 @@
                     raise TimeoutError(f"{router.name} is not ready, see {router.log_path}")
                 time.sleep(0.05)
 
+    def standin_pids(self) -> list[int]:
+        """Return the process ids of the stand-ins."""
+        return [process.pid for process in self._standins]
+
     def stop_router(self, router: RouterProcess) -> int:
         """Stop a router gracefully and return its exit code."""
         assert router.process is not None
--- /dev/null
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure.py
@@ -0,0 +1,75 @@
+"""Load and measurement tool: ``python -m parsleyrudder_standins.measure --policy=all``.
+
+Runs a seeded load against real router processes and stand-ins on loopback; prints one JSON line per
+run and one table at the end.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from absl import app, flags
+from parsleyrudder import POLICY_BY_NAME
+
+from .measure_faults import FAULTS
+from .measure_load import COSTS
+from .measure_report import figures, plot, table
+from .measure_run import CENTRAL, RunOptions, run
+
+__all__ = ["main"]
+
+_DEFAULTS = RunOptions()
+_POLICIES = [CENTRAL, *POLICY_BY_NAME]
+
+_DEPLOYMENT = flags.DEFINE_enum(
+    "deployment", _DEFAULTS.deployment, ["frio-nordeste", "trishuli"], "deployment to run"
+)
+_POLICY = flags.DEFINE_list("policy", ["fair"], f"policies, or all: {', '.join(_POLICIES)}")
+_FAULT = flags.DEFINE_list("fault", ["none"], f"faults, or all: {', '.join(FAULTS)}")
+_ROUTERS = flags.DEFINE_integer("routers", _DEFAULTS.routers, "router processes", 1, 32)
+_MEMBERS = flags.DEFINE_integer("members", _DEFAULTS.members, "members with callers", 2, 16)
+_SEED = flags.DEFINE_integer("seed", _DEFAULTS.seed, "seed of the load")
+_SKEW = flags.DEFINE_float("skew", _DEFAULTS.skew, "0: all on all routers, 1: very uneven", 0, 1)
+_COSTS = flags.DEFINE_enum("costs", _DEFAULTS.costs, list(COSTS), "distribution of costs")
+_SECONDS = flags.DEFINE_float("seconds", _DEFAULTS.seconds, "sampling window", 1, 600)
+_TOKEN_RATE = flags.DEFINE_float("token_rate", _DEFAULTS.token_rate, "tokens/s per slot", 1, 1000)
+_BATCH = flags.DEFINE_float("batch_part", _DEFAULTS.batch_part, "part of batch calls", 0, 1)
+_PLOT = flags.DEFINE_string("plot", "", "PNG file to write")
+
+
+def main(arguments: list[str]) -> None:
+    """Make the runs that the flags ask for."""
+    del arguments
+    policies = _POLICIES if _POLICY.value == ["all"] else _POLICY.value
+    faults = list(FAULTS) if _FAULT.value == ["all"] else _FAULT.value
+    unknown = (set(policies) - set(_POLICIES)) | (set(faults) - set(FAULTS))
+    if unknown:
+        raise app.UsageError(f"unknown policy or fault: {', '.join(sorted(unknown))}")
+    results = []
+    for policy in policies:
+        for fault in faults:
+            results.append(run(_options(policy, fault)))
+            print(json.dumps(figures(results[-1])), flush=True)
+    print(table([figures(result) for result in results]))
+    if _PLOT.value:
+        plot(results, Path(_PLOT.value))
+
+
+def _options(policy: str, fault: str) -> RunOptions:
+    return RunOptions(
+        deployment=_DEPLOYMENT.value,
+        policy=policy,
+        fault=fault,
+        routers=_ROUTERS.value,
+        members=_MEMBERS.value,
+        seed=_SEED.value,
+        skew=_SKEW.value,
+        costs=_COSTS.value,
+        seconds=_SECONDS.value,
+        token_rate=_TOKEN_RATE.value,
+        batch_part=_BATCH.value,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
