--- a/packages/parsleyrudder_standins/parsleyrudder_standins/demo.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/demo.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from absl import app, flags
+from absl import app
 from rich.console import Console
 from rich.table import Table
 
@@ -22,13 +22,11 @@
 from .demo_checks import check_promises
 from .deployment import Deployment, load_deployment
 from .launcher import Fleet, get_json
+from .options import DEPLOYMENT, SECONDS, SEED
 
 __all__ = ["main"]
 
-_DEPLOYMENT = flags.DEFINE_string("deployment", "frio-nordeste", "Folder below deployments/.")
-_SECONDS = flags.DEFINE_float("seconds", 12.0, "Length of the load.", lower_bound=4.0)
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
-
+_DEFAULT_SECONDS = 12.0
 _CHATS_PER_MEMBER = 6
 _MOST_TOKENS = 120
 _TAG_TOKENS = 8
@@ -98,14 +96,14 @@
 def main(argv: list[str]) -> int:
     """Run the demo and return the exit code."""
     console = Console(width=110, highlight=False)
-    deployment = load_deployment(_DEPLOYMENT.value)
+    deployment = load_deployment(DEPLOYMENT.value)
     fleet = Fleet(deployment, routers=3)
     console.print(f"starting {deployment.name}: 3 routers, logs in {fleet.folder}")
     with fleet:
         _show_enforced(console, fleet, "Enforced before the edit")
         entry = [router.address for router in fleet.router_by_name.values()]
-        until = time.monotonic() + _SECONDS.value
-        load = _Load(deployment, entry, random.Random(_SEED.value), until)
+        until = time.monotonic() + (SECONDS.value or _DEFAULT_SECONDS)
+        load = _Load(deployment, entry, random.Random(SEED.value), until)
         followed_s = asyncio.run(_run_and_edit(console, fleet, load))
         _show_enforced(console, fleet, "Enforced after the edit")
         _show_service(console, fleet)
@@ -126,7 +124,7 @@
 async def _run_and_edit(console: Console, fleet: Fleet, load: _Load) -> float:
     """Run the load, edit a list in the middle of it, and return how long routers took to follow."""
     running = asyncio.ensure_future(load.run())
-    await asyncio.sleep(_SECONDS.value / 2)
+    await asyncio.sleep((SECONDS.value or _DEFAULT_SECONDS) / 2)
     begun = time.monotonic()
     await asyncio.to_thread(_edit_lists, console, fleet)
     followed_s = time.monotonic() - begun
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure.py
@@ -15,23 +15,19 @@
 from .measure_load import COSTS
 from .measure_report import figures, plot, table
 from .measure_run import CENTRAL, RunOptions, run
+from .options import DEPLOYMENT, SECONDS, SEED
 
 __all__ = ["main"]
 
 _DEFAULTS = RunOptions()
 _POLICIES = [CENTRAL, *POLICY_BY_NAME]
 
-_DEPLOYMENT = flags.DEFINE_enum(
-    "deployment", _DEFAULTS.deployment, ["frio-nordeste", "trishuli"], "deployment to run"
-)
 _POLICY = flags.DEFINE_list("policy", ["fair"], f"policies, or all: {', '.join(_POLICIES)}")
 _FAULT = flags.DEFINE_list("fault", ["none"], f"faults, or all: {', '.join(FAULTS)}")
 _ROUTERS = flags.DEFINE_integer("routers", _DEFAULTS.routers, "router processes", 1, 32)
 _MEMBERS = flags.DEFINE_integer("members", _DEFAULTS.members, "members with callers", 2, 16)
-_SEED = flags.DEFINE_integer("seed", _DEFAULTS.seed, "seed of the load")
 _SKEW = flags.DEFINE_float("skew", _DEFAULTS.skew, "0: all on all routers, 1: very uneven", 0, 1)
 _COSTS = flags.DEFINE_enum("costs", _DEFAULTS.costs, list(COSTS), "distribution of costs")
-_SECONDS = flags.DEFINE_float("seconds", _DEFAULTS.seconds, "sampling window", 1, 600)
 _TOKEN_RATE = flags.DEFINE_float("token_rate", _DEFAULTS.token_rate, "tokens/s per slot", 1, 1000)
 _BATCH = flags.DEFINE_float("batch_part", _DEFAULTS.batch_part, "part of batch calls", 0, 1)
 _PLOT = flags.DEFINE_string("plot", "", "PNG file to write")
@@ -57,15 +53,15 @@
 
 def _options(policy: str, fault: str) -> RunOptions:
     return RunOptions(
-        deployment=_DEPLOYMENT.value,
+        deployment=DEPLOYMENT.value,
         policy=policy,
         fault=fault,
         routers=_ROUTERS.value,
         members=_MEMBERS.value,
-        seed=_SEED.value,
+        seed=SEED.value,
         skew=_SKEW.value,
         costs=_COSTS.value,
-        seconds=_SECONDS.value,
+        seconds=SECONDS.value or _DEFAULTS.seconds,
         token_rate=_TOKEN_RATE.value,
         batch_part=_BATCH.value,
     )
