Check callers' input byte by byte and write answers directly

Cause: h11 takes folded lines, bare LF and equal repeated Content-Length headers; a head that comes in one packet escaped the limit on headers; a second 100 Continue went out within the answer; an error in a handler became a traceback in HTML; header values of servers could be no Latin-1 and a status unknown to circuits.web broke the answer; a half-closed caller lost what was buffered; unread input made the kernel reset the connection and delete the error answer.

Change: the guard checks the bytes of each head before h11 parses it; the new component CallerSockets owns accepted connections, writes at once when its buffer is empty, and closes in order; the front writes heads itself. Errors of handlers become the documented JSON. Absolute targets are accepted, as RFC 9112 section 3.2.2 requires. Requests sent ahead wait in the kernel's buffer.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -1,23 +1,49 @@
-"""Caller front: circuits.web behind the request guard, and the answers that go back.
+"""Caller front: listens for callers and writes the answers that go back.
 
-Each request becomes a :class:`CallerExchange`, which a handler answers whole or as a stream.
+circuits.web accepts the connections; its parser and its writer of answers are left out. The guard
+(see :mod:`.guard`) makes the requests, and each becomes a :class:`CallerExchange`, which a handler
+answers whole or as a stream.
 """
 
+import http
+import logging
+import re
 import socket
+import time
 from collections.abc import Callable, Iterable
+from email.utils import formatdate
 from typing import Any, Protocol
 
 from circuits.core import BaseComponent, Event, handler
-from circuits.web.events import response
 from circuits.web.servers import BaseServer
-from circuits.web.wrappers import Request, Response
-from parsleyrudder import Failure, Outcome
+from parsleyrudder import Failure, Outcome, failure
 
 from .guard import CallerRequest, Guard, GuardLimits, error_body
+from .logs import log_event
 from .timers import Timers
 
 __all__ = ["CallerExchange", "CallerFront", "CallerHandler"]
 
+_LOGGER = logging.getLogger(__name__)
+_NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9a-zA-Z]+")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+# The front frames the answers, so a server's framing must not be passed on.
+_OWN_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+_BODILESS = (204, 205, 304)
+
 
 class CallerHandler(Protocol):
     """What answers requests."""
@@ -34,8 +60,8 @@
     """
 
     __slots__ = (
+        "_chunked",
         "_front",
-        "_res",
         "_sock",
         "ended",
         "head_sent",
@@ -44,12 +70,10 @@
         "request_id",
     )
 
-    def __init__(
-        self, front: "CallerFront", sock: socket.socket, res: Response, request: CallerRequest
-    ) -> None:
+    def __init__(self, front: "CallerFront", sock: socket.socket, request: CallerRequest) -> None:
         self._front = front
         self._sock = sock
-        self._res = res
+        self._chunked = False
         self.request = request
         self.request_id = ""
         self.head_sent = False
@@ -60,10 +84,15 @@
         """Send a whole answer."""
         if self.ended:
             return
-        self._set_head(status, headers)
-        self._res.body = b"" if self.request.method == "HEAD" else body
+        lines = self._head(status, headers)
+        if status in _BODILESS:
+            body = b""
+        if status not in (204, 304):
+            lines.append(f"Content-Length: {len(body)}")
+        if self.request.method == "HEAD":
+            body = b""
         self.head_sent = True
-        self._front.fire(response(self._res), "web")
+        self._front.write(self._sock, _join(lines) + body)
         self._end()
 
     def answer_json(
@@ -88,38 +117,40 @@
 
     def start_stream(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
         """Send the head of a streamed answer."""
-        self._set_head(status, headers)
-        res = self._res
-        res.stream = True
-        res.body = ()
-        res.headers["Cache-Control"] = "no-cache"
+        if self.ended:
+            return
+        lines = self._head(status, headers)
+        lines.append("Cache-Control: no-cache")
+        # Without chunks (HTTP/1.0) the end of the connection ends the answer.
+        self._chunked = not self.request.http_1_0
+        if self._chunked:
+            lines.append("Transfer-Encoding: chunked")
         self.head_sent = True
-        # Written at once and not by an event, so that it precedes the chunks.
-        res.prepare()
-        self._front.write(self._sock, bytes(res) + bytes(res.headers))
+        self._front.write(self._sock, _join(lines))
 
     def write(self, data: bytes) -> None:
         """Send a chunk of a streamed answer."""
-        if self.ended or not data:
+        if self.ended or not data or self.request.method == "HEAD":
             return
-        if self._res.chunked:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
         self._front.write(self._sock, data)
 
     def finish_stream(self) -> None:
         """End a streamed answer that is complete."""
         if self.ended:
             return
-        if self._res.chunked:
+        if self._chunked and self.request.method != "HEAD":
             self._front.write(self._sock, b"0\r\n\r\n")
-        self._front.forget(self._sock)
         self._end()
 
     def abort(self) -> None:
-        """Close the connection without the end mark of the stream."""
+        """Close the connection so that the caller sees that the answer is not complete."""
         if not self.ended:
             self.ended = True
-            self._front.abort(self._sock)
+            # A chunked answer lacks its last chunk; one that ends with the connection needs a
+            # reset to look different from a complete one.
+            self._front.abort(self._sock, reset=not self._chunked)
 
     def buffered_bytes(self) -> int:
         """Return the bytes that the caller has not read yet."""
@@ -132,15 +163,26 @@
             if self.on_gone is not None:
                 self.on_gone()
 
-    def _set_head(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
-        self._res.status = status
+    def _head(self, status: int, headers: Iterable[tuple[str, str]]) -> list[str]:
+        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, '')}", f"Date: {_date()}"]
+        value_by_name = {"X-Rudder-Outcome": Outcome.ANSWERED.value}
+        cookies = []
         for name, value in headers:
-            self._res.headers[name] = value
+            if name.lower() in _OWN_HEADERS:
+                continue
+            if not _NAME.fullmatch(name) or not _VALUE.fullmatch(value):
+                log_event(_LOGGER, "answer_header_dropped", logging.WARNING, name=name)
+            elif name.lower() == "set-cookie":
+                cookies.append(f"{name}: {value}")
+            else:
+                value_by_name[name.title()] = value
         if self.request_id:
-            self._res.headers["X-Request-Id"] = self.request_id
-        self._res.headers.setdefault("X-Rudder-Outcome", Outcome.ANSWERED.value)
+            value_by_name["X-Request-Id"] = self.request_id
+        lines += [f"{name}: {value}" for name, value in value_by_name.items()]
+        lines += cookies
         if not self.request.keep_alive:
-            self._res.close = True
+            lines.append("Connection: close")
+        return lines
 
     def _end(self) -> None:
         self.ended = True
@@ -158,9 +200,17 @@
     def _on_ready(self, server: Any, bind: Any) -> None:
         """Leave the log to the application object."""
 
+    def release(self, sock: socket.socket) -> bool:
+        """Give up a connection that was accepted; return whether it was still there."""
+        if sock not in self.server._clients:
+            return False
+        self.server._clients.remove(sock)
+        self.server._poller.discard(sock)
+        return True
+
 
 class _Ended(Event):
-    """An answer has been handed to circuits.web."""
+    """An answer is complete."""
 
     name = "answer_ended"
 
@@ -177,7 +227,8 @@
         self, timers: Timers, bind: tuple[str, int], limits: GuardLimits, handler: CallerHandler
     ) -> None:
         super().__init__()
-        self.guard = Guard(timers, limits).register(self)
+        self.guard = Guard(timers, limits, self._on_request, self._on_gone)
+        self._sockets = self.guard.sockets.register(self)
         self._web = _Server(bind, display_banner=False).register(self)
         self._handler = handler
         self._exchange_by_sock: dict[socket.socket, CallerExchange] = {}
@@ -193,49 +244,55 @@
         return len(self._exchange_by_sock)
 
     def write(self, sock: socket.socket, data: bytes) -> None:
-        """Put bytes into a connection's buffer, without an event of its own."""
-        if sock in self._exchange_by_sock:
-            self._web.server.write(sock, data)
+        """Send bytes of an answer."""
+        self._sockets.write(sock, data)
 
     def buffered_bytes(self, sock: socket.socket) -> int:
-        """Return the bytes in a connection's write buffer."""
-        buffers = self._web.server._buffers
-        return sum(map(len, buffers[sock])) if sock in buffers else 0
-
-    def forget(self, sock: socket.socket) -> None:
-        """Make circuits.web forget a streamed answer that was written past it."""
-        self._web.http._clients.pop(sock, None)
+        """Return the bytes that a caller has not read yet."""
+        return self._sockets.buffered_bytes(sock)
 
     def end(self, sock: socket.socket) -> None:
-        """Let the connection's next request in, after the events of the answer."""
+        """Let the connection's next request in, once the code that answered has returned."""
         self._exchange_by_sock.pop(sock, None)
         self.fire(_Ended(sock), "web")
 
-    def abort(self, sock: socket.socket) -> None:
-        """Close a connection once its buffer is written."""
+    def abort(self, sock: socket.socket, reset: bool) -> None:
+        """Close a connection whose answer is not complete.
+
+        :param reset: whether to drop what is buffered and reset the connection.
+        """
         self._exchange_by_sock.pop(sock, None)
-        self.forget(sock)
-        self._web.server.close(sock)
+        if reset:
+            self._sockets.drop(sock, reset=True)
+        else:
+            self._sockets.close(sock)
+
+    @handler("connect")
+    def _on_connect(self, sock: socket.socket, *address: object) -> None:
+        if self._web.release(sock):
+            self.guard.open(sock)
 
     @handler("answer_ended")
     def _on_answer_ended(self, sock: socket.socket) -> None:
         self.guard.done(sock)
 
-    @handler("request", priority=1)
-    def _on_request(self, event: Any, req: Request, res: Response) -> bool:
-        event.stop()
-        request = self.guard.take(req.sock)
-        if request is None:
-            return True
-        if request.http_1_0:
-            res.protocol = "HTTP/1.0"
-        exchange = CallerExchange(self, req.sock, res, request)
-        self._exchange_by_sock[req.sock] = exchange
-        self._handler.on_request(exchange)
-        return True
+    def _on_request(self, sock: socket.socket, request: CallerRequest) -> None:
+        exchange = self._exchange_by_sock[sock] = CallerExchange(self, sock, request)
+        try:
+            self._handler.on_request(exchange)
+        except Exception:
+            _LOGGER.exception("event=request_handler_failed")
+            exchange.fail(failure("internal_error", "the router failed to handle the request"))
 
-    @handler("disconnect")
-    def _on_disconnect(self, sock: socket.socket) -> None:
+    def _on_gone(self, sock: socket.socket) -> None:
         exchange = self._exchange_by_sock.pop(sock, None)
         if exchange is not None:
             exchange.gone()
+
+
+def _join(lines: list[str]) -> bytes:
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def _date() -> str:
+    return formatdate(int(time.time()), usegmt=True)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
@@ -1,30 +1,50 @@
-"""Request guard before circuits.web: framing, limits and pipelining of what callers send.
+"""Request guard: framing, limits, time limits and pipelining of what callers send.
 
 The parser of circuits.web answers only the first of pipelined requests, accepts both length
 headers, shows tracebacks, takes headers without bound, redirects paths with escapes and waits for
-ever for a short body. The guard parses requests by h11, keeps them, and passes a minimal canonical
-request on, one at a time per connection.
+ever for a short body. So the guard checks the bytes of each head itself, lets h11 parse the
+request, and passes whole requests on, one at a time per connection.
 """
 
 import json
 import logging
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import h11
-from circuits.core import BaseComponent, handler
-from circuits.net.events import close, read, write
 from parsleyrudder import Failure, failure
 
+from .caller_sockets import CallerSockets
 from .logs import log_event
 from .timers import Timer, Timers
 
 __all__ = ["CallerRequest", "Guard", "GuardLimits", "error_body"]
 
 _LOGGER = logging.getLogger(__name__)
-_CANONICAL = b"POST / HTTP/1.1\r\nHost: guard\r\nContent-Length: 0\r\n%s\r\n"
-_CLOSE = b"Connection: close\r\n"
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_HEAD_END = b"\r\n\r\n"
+# h11 accepts bare LF and folded lines, which other parsers read differently (request smuggling).
+_HEAD_FAULT = re.compile(rb"\x00|\r[^\n]|(?<!\r)\n|\n[ \t]")
+_METHOD_START = re.compile(rb"[A-Za-z]")
+_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:[ \t]*([^\r]*)", re.IGNORECASE)
+_LENGTH_VALUE = re.compile(rb"[0-9]{1,18}[ \t]*")
+_ABSOLUTE = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
+# A second value of these would make it ambiguous who calls, or what may be repeated.
+_SINGLE = frozenset(
+    (
+        b"authorization",
+        b"expect",
+        b"idempotency-key",
+        b"x-class",
+        b"x-cost-hint",
+        b"x-deadline-s",
+        b"x-request-id",
+    )
+)
+# Beyond the limit, so many connections still get an error answer; further ones are closed at once.
+_REFUSED_CONNECTIONS = 64
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,6 +53,7 @@
 
     :ivar header_bytes: request line and headers together.
     :ivar target_bytes: path and query.
+    :ivar body_bytes: body after chunk decoding.
     :ivar connections: open connections.
     :ivar request_s: time in which a whole request must arrive.
     :ivar idle_s: time for which a connection may stay open without a request.
@@ -50,6 +71,7 @@
 class CallerRequest:
     """A whole request of a caller, within all limits.
 
+    :ivar target: path and query as sent, without scheme and host of an absolute target.
     :ivar headers: lower-case names; the last value of a repeated header.
     :ivar keep_alive: whether the connection stays open after the answer.
     """
@@ -64,34 +86,46 @@
 
 @dataclass(slots=True)
 class _Connection:
-    parser: h11.Connection
+    """What a caller has sent.
+
+    :ivar input: bytes received and not parsed yet.
+    :ivar scanned: number of bytes of ``input`` that were searched for the end of the head.
+    :ivar parser: parser of the request whose head has been received.
+    """
+
+    input: bytearray = field(default_factory=bytearray)
+    scanned: int = 0
+    parser: h11.Connection | None = None
     request: h11.Request | None = None
     body: bytearray = field(default_factory=bytearray)
-    waiting: bytearray = field(default_factory=bytearray)
-    ready: CallerRequest | None = None
+    keep_alive: bool = False
     busy: bool = False
     refused: bool = False
-    passed: bytes | None = None
     timer: Timer | None = None
 
 
-class Guard(BaseComponent):
-    """Checks what goes into the parser of circuits.web.
+class Guard:
+    """Checks the input of all connections.
 
-    :param on_request: called with each refused request's failure, for logs and metrics.
+    :param on_request: called with each whole request; the connection's next one is passed on
+        after :meth:`done`.
+    :param on_gone: called when a connection closes on which a request is being answered.
+    :param on_refused: called with each refused request's failure, for logs and metrics.
     """
 
-    channel = "web"
-
     def __init__(
         self,
         timers: Timers,
         limits: GuardLimits,
+        on_request: Callable[[socket.socket, CallerRequest], None],
+        on_gone: Callable[[socket.socket], None],
         on_refused: Callable[[Failure], None] = lambda failure: None,
     ) -> None:
-        super().__init__()
+        self.sockets = CallerSockets(timers, self)
         self._timers = timers
         self._limits = limits
+        self._on_request = on_request
+        self._on_gone = on_gone
         self._on_refused = on_refused
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
 
@@ -100,98 +134,130 @@
         """Number of open connections."""
         return len(self._connection_by_sock)
 
-    def take(self, sock: socket.socket) -> CallerRequest | None:
-        """Return the request that is being answered on a connection."""
-        connection = self._connection_by_sock.get(sock)
-        return connection.ready if connection else None
+    def open(self, sock: socket.socket) -> None:
+        """Take over an accepted connection."""
+        excess = len(self._connection_by_sock) - self._limits.connections
+        if excess >= _REFUSED_CONNECTIONS:
+            sock.close()
+            return
+        connection = self._connection_by_sock[sock] = _Connection()
+        self.sockets.adopt(sock)
+        if excess >= 0:
+            text = f"{self._limits.connections} connections are open"
+            self._refuse(sock, connection, failure("too_many_connections", text, 1.0))
+            return
+        self._start_timer(sock, connection, self._limits.idle_s)
 
     def done(self, sock: socket.socket) -> None:
         """Go on with the next request of a connection after an answer was written."""
         connection = self._connection_by_sock.get(sock)
         if connection is None or not connection.busy:
             return
-        keep_alive = connection.ready is not None and connection.ready.keep_alive
         connection.busy = False
-        connection.ready = None
-        if not keep_alive:
-            self.fire(close(sock), "web")
+        if not connection.keep_alive:
+            self.sockets.close(sock)
             return
-        rest, closed = connection.parser.trailing_data
-        connection.parser = self._parser()
+        assert connection.parser is not None
+        connection.input[:0] = connection.parser.trailing_data[0]
+        connection.parser = None
         connection.request = None
         connection.body.clear()
-        data = bytes(rest) + bytes(connection.waiting)
-        connection.waiting.clear()
-        self._start_timer(sock, connection, self._limits.idle_s)
-        if data:
-            self._feed(sock, connection, data)
-        elif closed:
-            self.fire(close(sock), "web")
-
-    def _parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
-
-    @handler("connect", priority=10)
-    def _on_connect(self, sock: socket.socket, *address: object) -> None:
-        connection = _Connection(self._parser())
-        self._connection_by_sock[sock] = connection
-        if len(self._connection_by_sock) > self._limits.connections:
-            text = f"{self._limits.connections} connections are open"
-            self._refuse(sock, connection, failure("too_many_connections", text, 1.0))
-            return
+        self.sockets.set_reading(sock, True)
         self._start_timer(sock, connection, self._limits.idle_s)
+        if connection.input:
+            self._parse(sock, connection, fresh=True)
 
-    @handler("disconnect", priority=10)
-    def _on_disconnect(self, sock: socket.socket) -> None:
-        connection = self._connection_by_sock.pop(sock, None)
-        if connection is not None and connection.timer is not None:
-            connection.timer.cancel()
-
-    @handler("read", priority=10)
-    def _on_read(self, event: read, sock: socket.socket, data: bytes) -> None:
-        connection = self._connection_by_sock.get(sock)
-        if connection is None:
-            event.stop()
-            return
-        if data is connection.passed:
-            connection.passed = None
-            return
-        event.stop()
+    def on_data(self, sock: socket.socket, data: bytes) -> None:
+        """See :class:`SocketOwner`."""
+        connection = self._connection_by_sock[sock]
         if connection.refused:
             return
+        fresh = not connection.input and connection.parser is None
+        connection.input += data
         if not connection.busy:
-            self._feed(sock, connection, data)
+            self._parse(sock, connection, fresh)
+        elif len(connection.input) > self._limits.header_bytes:
+            # Requests sent ahead stay in the kernel's buffer until the answer is written.
+            self.sockets.set_reading(sock, False)
+
+    def on_eof(self, sock: socket.socket) -> None:
+        """Close; a caller that sends nothing more is taken as gone, as its answer may be costly."""
+        if self._connection_by_sock[sock].busy:
+            self.sockets.drop(sock)
+        else:
+            self.sockets.close(sock)
+
+    def on_closed(self, sock: socket.socket) -> None:
+        """See :class:`SocketOwner`."""
+        connection = self._connection_by_sock.pop(sock, None)
+        if connection is None:
             return
-        connection.waiting += data
-        if len(connection.waiting) > self._limits.header_bytes + self._limits.body_bytes:
-            text = "too much was sent ahead of the answer"
-            self._refuse(sock, connection, failure("bad_request", text))
+        if connection.timer is not None:
+            connection.timer.cancel()
+        if connection.busy:
+            self._on_gone(sock)
 
-    def _feed(self, sock: socket.socket, connection: _Connection, data: bytes) -> None:
-        parser = connection.parser
-        if connection.request is None and not parser.trailing_data[0]:
+    def _parse(self, sock: socket.socket, connection: _Connection, fresh: bool) -> None:
+        """Parse the input as far as it goes.
+
+        :param fresh: whether these are the first bytes of a request.
+        """
+        if fresh:
             self._start_timer(sock, connection, self._limits.request_s)
         try:
-            parser.receive_data(data)
-            if parser.they_are_waiting_for_100_continue:
-                self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"), "web")
-            refusal = self._advance(sock, connection)
+            refusal = None if connection.parser else self._take_head(connection)
+            if refusal is None and connection.parser is not None:
+                connection.parser.receive_data(bytes(connection.input))
+                connection.input.clear()
+                refusal = self._advance(sock, connection)
         except h11.RemoteProtocolError as error:
-            refusal = _protocol_failure(error)
+            refusal = failure("bad_request", f"not a valid HTTP/1.1 request: {error}")
         if refusal is not None:
             self._refuse(sock, connection, refusal)
 
+    def _take_head(self, connection: _Connection) -> Failure | None:
+        """Check the bytes of the head; make a parser once it is whole."""
+        head = connection.input
+        if head.startswith(b"\r\n"):
+            del head[:2]  # RFC 9112 section 2.2: an empty line before a request is ignored.
+        if head and not _METHOD_START.match(head):
+            return failure("bad_request", "the input does not begin with an HTTP method")
+        end = head.find(_HEAD_END, max(0, connection.scanned - 3))
+        length = len(head) if end < 0 else end + len(_HEAD_END)
+        fault = _HEAD_FAULT.search(head, max(0, connection.scanned - 2), length)
+        if fault is not None:
+            folded = fault[0].startswith(b"\n") and len(fault[0]) > 1
+            what = "a folded line" if folded else "a bare CR, a bare LF or a NUL"
+            return failure("bad_request", f"{what} in the request line or headers")
+        if length > self._limits.header_bytes:
+            if b"\r\n" not in head[: self._limits.header_bytes]:
+                return failure("uri_too_long", f"target over {self._limits.target_bytes} bytes")
+            text = f"request line and headers over {self._limits.header_bytes} bytes"
+            return failure("headers_too_large", text)
+        if end < 0:
+            connection.scanned = length
+            return None
+        lengths = _LENGTH.findall(head, 0, end)
+        if len(lengths) > 1 or any(not _LENGTH_VALUE.fullmatch(value) for value in lengths):
+            return failure("bad_request", "bad or repeated Content-Length")
+        connection.scanned = 0
+        limit = self._limits.header_bytes
+        connection.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        return None
+
     def _advance(self, sock: socket.socket, connection: _Connection) -> Failure | None:
         """Take parsed events; return why the request is refused, or None."""
+        parser = connection.parser
+        assert parser is not None
         while True:
-            event = connection.parser.next_event()
+            event = parser.next_event()
             if isinstance(event, h11.Request):
                 connection.request = event
                 refusal = self._check_head(event)
                 if refusal is not None:
                     return refusal
-                if connection.parser.they_are_waiting_for_100_continue:
-                    self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"), "web")
+                if parser.they_are_waiting_for_100_continue:
+                    self.sockets.write(sock, _CONTINUE)
             elif isinstance(event, h11.Data):
                 connection.body += event.data
                 if len(connection.body) > self._limits.body_bytes:
@@ -200,18 +266,25 @@
                 self._pass_on(sock, connection)
                 return None
             else:
-                if event is h11.ConnectionClosed or isinstance(event, h11.ConnectionClosed):
-                    self.fire(close(sock), "web")
                 return None
 
     def _check_head(self, request: h11.Request) -> Failure | None:
         names = [name for name, _ in request.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
+        chunked = b"transfer-encoding" in names
+        if chunked and b"content-length" in names:
             return failure("bad_request", "both Content-Length and Transfer-Encoding are given")
+        if request.http_version not in (b"1.0", b"1.1"):
+            return failure("bad_request", "the protocol is not HTTP/1.0 or HTTP/1.1")
+        if chunked and request.http_version == b"1.0":
+            return failure("bad_request", "Transfer-Encoding is given in HTTP/1.0")
+        if len(names) != len(set(names)):
+            for name in _SINGLE:
+                if names.count(name) > 1:
+                    return failure("bad_request", f"{name.decode()} is given more than once")
         if len(request.target) > self._limits.target_bytes:
             return failure("uri_too_long", f"target over {self._limits.target_bytes} bytes")
-        if not request.target.startswith(b"/"):
-            return failure("bad_request", "the target does not start with a slash")
+        if not _origin_form(request.target.decode("ascii")).startswith("/"):
+            return failure("bad_request", "the target is neither a path nor an http URL")
         length = dict(request.headers).get(b"content-length", b"0")
         if int(length) > self._limits.body_bytes:
             return failure("body_too_large", f"body over {self._limits.body_bytes} bytes")
@@ -223,19 +296,19 @@
         if connection.timer is not None:
             connection.timer.cancel()
         headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in request.headers}
-        http_1_0 = request.http_version < b"1.1"
-        keep_alive = not http_1_0 and "close" not in headers.get("connection", "").lower()
-        connection.ready = CallerRequest(
-            request.method.decode("latin-1"),
-            request.target.decode("latin-1"),
+        http_1_0 = request.http_version == b"1.0"
+        options = [option.strip() for option in headers.get("connection", "").lower().split(",")]
+        connection.keep_alive = not http_1_0 and "close" not in options
+        connection.busy = True
+        passed = CallerRequest(
+            request.method.decode("ascii"),
+            _origin_form(request.target.decode("ascii")),
             headers,
             bytes(connection.body),
-            keep_alive,
+            connection.keep_alive,
             http_1_0,
         )
-        connection.busy = True
-        connection.passed = _CANONICAL % (b"" if keep_alive else _CLOSE)
-        self.fire(read(sock, connection.passed), "web")
+        self._on_request(sock, passed)
 
     def _start_timer(self, sock: socket.socket, connection: _Connection, delay_s: float) -> None:
         if connection.timer is not None:
@@ -245,15 +318,16 @@
     def _on_timeout(self, sock: socket.socket, connection: _Connection) -> None:
         if connection.busy or connection.refused:
             return
-        if connection.request is None and not connection.parser.trailing_data[0]:
-            self.fire(close(sock), "web")
+        if connection.parser is None and not connection.input:
+            self.sockets.close(sock)
             return
         text = f"the request was not whole after {self._limits.request_s:g} s"
         self._refuse(sock, connection, failure("request_timeout", text))
 
     def _refuse(self, sock: socket.socket, connection: _Connection, refusal: Failure) -> None:
-        """Answer with an error and close, past circuits.web."""
+        """Answer with an error and close; what follows on the connection can't be framed."""
         connection.refused = True
+        connection.input.clear()
         if connection.timer is not None:
             connection.timer.cancel()
         self._on_refused(refusal)
@@ -264,8 +338,8 @@
             f"Content-Length: {len(body)}\r\nX-Rudder-Outcome: {refusal.outcome}\r\n"
             "Connection: close\r\n\r\n"
         )
-        self.fire(write(sock, head.encode() + body), "web")
-        self.fire(close(sock), "web")
+        self.sockets.write(sock, head.encode() + body)
+        self.sockets.linger(sock)
 
 
 def error_body(refusal: Failure, request_id: str) -> bytes:
@@ -280,7 +354,10 @@
     return json.dumps({"error": error}).encode()
 
 
-def _protocol_failure(error: h11.RemoteProtocolError) -> Failure:
-    if error.error_status_hint == 431:
-        return failure("headers_too_large", "request line and headers are too large")
-    return failure("bad_request", f"not a valid HTTP/1.1 request: {error}")
+def _origin_form(target: str) -> str:
+    """Return path and query of a target; servers must accept absolute targets (RFC 9112, 3.2.2)."""
+    match = _ABSOLUTE.match(target)
+    if match is None:
+        return target
+    rest = target[match.end() :]
+    return rest if rest.startswith("/") else "/" + rest
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/conftest.py
@@ -0,0 +1,67 @@
+"""An event loop in a thread, for tests over real sockets."""
+
+import threading
+import time
+
+import pytest
+from circuits.core import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
+from parsleyrudder_adapters.timers import Timers
+
+LIMIT_S = 20.0
+
+
+class _Run(Event):
+    name = "run_in_loop"
+
+
+class Loop(BaseComponent):
+    """A circuits loop; :meth:`call` runs a function in its thread."""
+
+    channel = "loop"
+
+    def __init__(self):
+        super().__init__()
+        EPoll().register(self)
+        self.timers = Timers().register(self)
+        self.errors = []
+
+    def call(self, function):
+        done, box = threading.Event(), []
+
+        def run():
+            try:
+                box.append(function())
+            finally:
+                done.set()
+
+        self.fire(_Run(run), "loop")
+        assert done.wait(LIMIT_S), self.errors
+        assert box, self.errors
+        return box[0]
+
+    def until(self, condition):
+        """Wait for a condition; the limit only ends a test that would hang."""
+        until = time.monotonic() + LIMIT_S
+        while not condition():
+            assert time.monotonic() < until, self.errors
+            time.sleep(0.002)
+
+    @handler("run_in_loop")
+    def _on_run(self, function):
+        function()
+
+    @handler("exception", channel="*")
+    def _on_exception(self, *args, **kwargs):
+        self.errors.append(args)
+
+
+@pytest.fixture
+def loop():
+    loop = Loop()
+    loop.start()
+    loop.until(lambda: loop.running)
+    yield loop
+    loop.stop()
+    loop.join()
+    assert not loop.errors
