Report each failure of the HTTP client once and leak no socket

Cause: a host name was resolved within the loop, a bad port, an illegal header or a lack of descriptors raised through the code that dispatches calls, bytes after an answer could be taken for the answer to the next request, an early refusal was lost when sending the rest of the body failed, and a connection that the server had closed could be used again.

Change: such requests fail as not sent, after send() has returned; a connection is kept only if nothing follows its answer and the whole request was sent; a failed send leaves the answer to be read; an idle connection is looked at before it is used.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import ipaddress
 import socket
 from collections import deque
 from dataclasses import dataclass, field
@@ -92,7 +93,18 @@
 
 
 class _Connection:
-    __slots__ = ("address", "connected", "exchange", "out", "parser", "reading", "sock", "writing")
+    __slots__ = (
+        "address",
+        "broken",
+        "connected",
+        "exchange",
+        "out",
+        "parser",
+        "reading",
+        "sock",
+        "timer",
+        "writing",
+    )
 
     def __init__(self, address: str, sock: socket.socket) -> None:
         self.address = address
@@ -101,6 +113,8 @@
         self.exchange: Exchange | None = None
         self.out: deque[bytes] = deque()
         self.connected = False
+        self.broken = False
+        self.timer: Timer | None = None
         self.reading = False
         self.writing = False
 
@@ -134,19 +148,29 @@
         :param timeout_s: time after which the whole exchange fails; None for no limit.
         """
         exchange = Exchange(self, request, listener)
-        idle = self._idle.get(address)
-        if request.reuse and idle:
-            connection = idle.pop()
-        else:
-            connection = self._connect(address)
+        connection = self._take_idle(address) if request.reuse else None
+        try:
+            if connection is None:
+                connection = self._connect(address)
+            data = _request_bytes(connection.parser, address, request)
+        except (OSError, ValueError, h11.LocalProtocolError) as error:
+            if connection is not None:
+                self._close(connection)
+            # Not from within this call: the caller has no exchange yet.
+            reason = f"can't send to {address}: {error}"
+            self._timers.after(0.0, lambda: self._fail(exchange, reason))
+            return exchange
         connection.exchange = exchange
         exchange.connection = connection
         if not connection.connected:
             limit = self._connect_timeout_s
-            self._timers.after(limit, lambda: self._on_connect_timeout(connection, exchange))
+            connection.timer = self._timers.after(
+                limit, lambda: self._on_lost(connection, "connect timed out")
+            )
         if timeout_s is not None:
             exchange.timer = self._timers.after(timeout_s, lambda: self._fail(exchange, "timeout"))
-        self._queue_request(connection, address, request)
+        connection.out.append(data)
+        self._watch(connection, writing=True)
         return exchange
 
     def drop(self, exchange: Exchange) -> None:
@@ -168,29 +192,39 @@
             for connection in list(connections):
                 self._close(connection)
 
+    def _take_idle(self, address: str) -> _Connection | None:
+        """Return an idle connection that the server has not closed, as far as is known here."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            try:
+                connection.sock.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                return connection
+            except OSError:
+                pass
+            self._close(connection)
+        return None
+
     def _connect(self, address: str) -> _Connection:
+        """Open a connection.
+
+        :raises ValueError: if the host is not an IPv4 number; a name would block the loop.
+        :raises OSError: if there is no socket to be had.
+        """
         host, _, port = address.rpartition(":")
+        numeric = ipaddress.IPv4Address(host).compressed
+        number = int(port)
+        if not 0 < number < 65536:
+            raise ValueError(f"{port} is no port")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(address, sock)
         self._connection_by_sock[sock] = connection
-        sock.connect_ex((host, int(port)))
+        sock.connect_ex((numeric, number))
         return connection
 
-    def _queue_request(self, connection: _Connection, address: str, request: HttpRequest) -> None:
-        headers = [("Host", address), *request.headers]
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append(("Content-Length", str(len(request.body))))
-        event = h11.Request(method=request.method, target=request.target, headers=headers)
-        parser = connection.parser
-        parts = [parser.send(event)]
-        if request.body:
-            parts.append(parser.send(h11.Data(data=request.body)))
-        parts.append(parser.send(h11.EndOfMessage()))
-        connection.out.append(b"".join(part for part in parts if part))
-        self._watch(connection, writing=True)
-
     def _watch(
         self, connection: _Connection, reading: bool | None = None, writing: bool | None = None
     ) -> None:
@@ -219,6 +253,8 @@
                 self._on_lost(connection, f"connect failed with error {error}")
                 return
             connection.connected = True
+            if connection.timer is not None:
+                connection.timer.cancel()
             self._watch(connection, reading=True)
         try:
             while connection.out:
@@ -232,9 +268,10 @@
         except BlockingIOError:
             connection.out.appendleft(data)
             return
-        except OSError as error:
-            self._on_lost(connection, f"send failed: {error.strerror}")
-            return
+        except OSError:
+            # The server may have answered before it closed; reading tells.
+            connection.out.clear()
+            connection.broken = True
         self._watch(connection, writing=False)
 
     @handler("_read", priority=1)
@@ -289,7 +326,10 @@
         exchange.connection = None
         connection.exchange = None
         parser = connection.parser
-        if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+        reusable = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        # Bytes after the answer would be taken for the answer to the next request.
+        surplus = parser.trailing_data[0]
+        if reusable and not surplus and not connection.out and not connection.broken:
             parser.start_next_cycle()
             self._keep(connection)
         else:
@@ -306,10 +346,6 @@
         self._watch(connection, reading=True)
         idle.append(connection)
 
-    def _on_connect_timeout(self, connection: _Connection, exchange: Exchange) -> None:
-        if not connection.connected and connection.exchange is exchange:
-            self._on_lost(connection, "connect timed out")
-
     def _on_lost(self, connection: _Connection, reason: str) -> None:
         exchange = connection.exchange
         self._close(connection)
@@ -326,9 +362,23 @@
     def _close(self, connection: _Connection) -> None:
         if self._connection_by_sock.pop(connection.sock, None) is None:
             return
+        if connection.timer is not None:
+            connection.timer.cancel()
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
         self._poller.discard(connection.sock)
         with contextlib.suppress(OSError):
             connection.sock.close()
+
+
+def _request_bytes(parser: h11.Connection, address: str, request: HttpRequest) -> bytes:
+    headers = [("Host", address), *request.headers]
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append(("Content-Length", str(len(request.body))))
+    event = h11.Request(method=request.method, target=request.target, headers=headers)
+    parts = [parser.send(event)]
+    if request.body:
+        parts.append(parser.send(h11.Data(data=request.body)))
+    parts.append(parser.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
