--- a/packages/parsleyrudder/parsleyrudder/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/__init__.py
@@ -4,7 +4,7 @@
 messages and the time in seconds, and return typed messages.
 """
 
-from . import delivery, errors, lists, membership, messages, outcomes, routing, sharing, table
+from . import delivery, errors, lists, membership, messages, outcomes, routing, rows, sharing, table
 from .delivery import *  # noqa: F403
 from .errors import *  # noqa: F403
 from .lists import *  # noqa: F403
@@ -12,6 +12,7 @@
 from .messages import *  # noqa: F403
 from .outcomes import *  # noqa: F403
 from .routing import *  # noqa: F403
+from .rows import *  # noqa: F403
 from .sharing import *  # noqa: F403
 from .table import *  # noqa: F403
 
@@ -23,6 +24,7 @@
     *messages.__all__,
     *outcomes.__all__,
     *routing.__all__,
+    *rows.__all__,
     *sharing.__all__,
     *table.__all__,
 ]
--- a/packages/parsleyrudder/parsleyrudder/lists/parse.py
+++ b/packages/parsleyrudder/parsleyrudder/lists/parse.py
@@ -4,11 +4,10 @@
 import re
 import tomllib
 from collections.abc import Callable, Collection, Iterator
-from typing import Any, TypeVar
-
-import msgspec
+from typing import TypeVar
 
 from ..errors import ListError
+from ..rows import convert_row
 from .model import Config, Member, Plan
 
 __all__ = ["MEMBERS_FILE", "PLANS_FILE", "check_config", "parse_members", "parse_plans"]
@@ -100,8 +99,8 @@
         raw_rows = []
     for index, raw in enumerate(raw_rows):
         path = f"{file}: {key}[{index}]"
-        row, row_errors = _row(raw, path, row_type)
-        errors += row_errors
+        row, row_faults = convert_row(raw, path, row_type)
+        errors += [ListError(fault.path, fault.message, fault.remedy) for fault in row_faults]
         if row is None:
             continue
         errors += [ListError(f"{path}.{field}", *rest) for field, *rest in faults(row)]
@@ -115,29 +114,6 @@
     return rows
 
 
-def _row(raw: Any, path: str, row_type: type[_T]) -> tuple[_T | None, list[ListError]]:
-    """Convert one table field by field, so that every wrong field is reported."""
-    if not isinstance(raw, dict):
-        return None, [ListError(path, "not a table", "write one table per row")]
-    errors = []
-    fields = msgspec.structs.fields(row_type)
-    known = {field.name for field in fields}
-    for name in raw.keys() - known:
-        remedy = f"use only {', '.join(sorted(known))}"
-        errors.append(ListError(f"{path}.{name}", "unknown field", remedy))
-    values = {}
-    for field in fields:
-        if field.name not in raw:
-            errors.append(ListError(f"{path}.{field.name}", "missing", "add the field"))
-            continue
-        try:
-            values[field.name] = msgspec.convert(raw[field.name], field.type)
-        except msgspec.ValidationError as error:
-            remedy = f"found {raw[field.name]!r}, write a value of the right type"
-            errors.append(ListError(f"{path}.{field.name}", str(error), remedy))
-    return (None if errors else row_type(**values)), errors
-
-
 def _member_faults(member: Member) -> Iterator[tuple[str, str, str]]:
     yield from _name_faults("name", member.name)
     yield from _number_faults("share", member.share)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
@@ -12,8 +12,10 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import h11
+import msgspec
 from parsleyrudder import Failure, failure
 
 from .caller_sockets import CallerSockets
@@ -46,9 +48,18 @@
 # Beyond the limit, so many connections still get an error answer; further ones are closed at once.
 _REFUSED_CONNECTIONS = 64
 
+_COUNT = "write a whole number from 1 to 65536"
+_Bytes = Annotated[
+    int,
+    msgspec.Meta(ge=256, le=1 << 28, description="write a whole number from 256 to 268435456"),
+]
+_Seconds = Annotated[
+    float,
+    msgspec.Meta(gt=0, le=86400, description="write seconds above 0, at most 86400"),
+]
 
-@dataclass(slots=True, frozen=True)
-class GuardLimits:
+
+class GuardLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Limits on what callers send.
 
     :ivar header_bytes: request line and headers together.
@@ -59,12 +70,12 @@
     :ivar idle_s: time for which a connection may stay open without a request.
     """
 
-    header_bytes: int = 16384
-    target_bytes: int = 4096
-    body_bytes: int = 1 << 20
-    connections: int = 4096
-    request_s: float = 10.0
-    idle_s: float = 60.0
+    header_bytes: _Bytes = 16384
+    target_bytes: _Bytes = 4096
+    body_bytes: _Bytes = 1 << 20
+    connections: Annotated[int, msgspec.Meta(ge=1, le=65536, description=_COUNT)] = 4096
+    request_s: _Seconds = 10.0
+    idle_s: _Seconds = 60.0
 
 
 @dataclass(slots=True)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -1,12 +1,13 @@
 """Settings of the router daemon: a TOML file, checked as a whole before any socket opens."""
 
-import re
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
-from parsleyrudder import SettingsError
+from msgspec import Meta
+from parsleyrudder import RowFault, SettingsError, convert_row
 
 from .guard import GuardLimits
 
@@ -24,8 +25,57 @@
     "parse_settings",
 ]
 
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
-_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_HOST = rf"{_OCTET}(\.{_OCTET}){{3}}"
+_PORT = r"([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
+_Z85 = r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]"
+# Bound of times: a longer one is a mistake of unit.
+_DAY_S = 86400
+_Address = Annotated[
+    str,
+    Meta(
+        pattern=rf"^{_HOST}:{_PORT}\Z",
+        description="write an IPv4 number and a port from 1 to 65535, such as 127.0.0.1:8100",
+    ),
+]
+_Url = Annotated[
+    str,
+    Meta(
+        pattern=rf"^https?://{_HOST}(:{_PORT})?\Z",
+        description="write a URL with an IPv4 number, such as http://127.0.0.1:8100",
+    ),
+]
+_Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[a-z0-9][a-z0-9._-]{0,62}\Z",
+        description="use 1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first",
+    ),
+]
+_Seconds = Annotated[
+    float, Meta(gt=0, le=_DAY_S, description="write seconds above 0, at most 86400")
+]
+_Amount = Annotated[float, Meta(ge=0, le=1e12, description="write a number from 0 to 1e12")]
+_Positive = Annotated[float, Meta(gt=0, le=1e12, description="write a number above 0, up to 1e12")]
+_Count = Annotated[int, Meta(ge=1, le=65536, description="write a whole number from 1 to 65536")]
+_Fraction = Annotated[float, Meta(ge=0, lt=1, description="write a number from 0 to below 1")]
+_PublicKey = Annotated[
+    str, Meta(pattern=rf"^{_Z85}{{40}}\Z", description="write the 40 characters of a CURVE key")
+]
+_SecretKey = Annotated[
+    str,
+    Meta(
+        pattern=rf"^{_Z85}{{40}}\Z",
+        description="write the 40 characters of a CURVE key",
+        extra={"secret": True},
+    ),
+]
+_Method = Annotated[
+    str, Meta(pattern=r"^[A-Z]{1,20}\Z", description="write an HTTP method, such as POST")
+]
+_Path = Annotated[
+    str, Meta(pattern=r"^/[\x21-\x7e]*\Z", description="write a path that begins with a slash")
+]
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -42,39 +92,39 @@
     :ivar stop_timeout_s: time after SIGTERM at which calls still in flight are cut.
     """
 
-    name: str
-    failure_domain: str
-    caller_bind: str
-    caller_url: str
-    peer_bind: str
-    address_ttl_s: float = 5.0
-    stop_timeout_s: float = 120.0
-    config_max_age_s: float = 600.0
-    default_deadline_s: float = 60.0
-    write_stall_s: float = 20.0
-    log_level: str = "INFO"
+    name: _Name
+    failure_domain: _Name
+    caller_bind: _Address
+    caller_url: _Url
+    peer_bind: _Address
+    address_ttl_s: _Seconds = 5.0
+    stop_timeout_s: _Seconds = 120.0
+    config_max_age_s: _Seconds = 600.0
+    default_deadline_s: _Seconds = 60.0
+    write_stall_s: _Seconds = 20.0
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 class TableSettings(_Section, frozen=True):
     """The platform's table service."""
 
-    address: str
-    timeout_s: float = 2.0
+    address: _Address
+    timeout_s: _Seconds = 2.0
 
 
 class InstanceListSettings(_Section, frozen=True):
     """The platform's instance list."""
 
-    address: str
-    interval_s: float = 1.0
+    address: _Address
+    interval_s: _Seconds = 1.0
 
 
 class Seed(_Section, frozen=True):
     """A router to ask first."""
 
-    name: str
-    address: str
-    caller_url: str
+    name: _Name
+    address: _Address
+    caller_url: _Url
 
 
 class PeerSettings(_Section, frozen=True):
@@ -84,28 +134,28 @@
     :ivar secret_key: the fleet's CURVE secret key, Z85.
     """
 
-    public_key: str
-    secret_key: str
+    public_key: _PublicKey
+    secret_key: _SecretKey
     seeds: tuple[Seed, ...] = ()
-    gossip_interval_s: float = 0.5
-    gossip_fan_out: int = 2
+    gossip_interval_s: _Seconds = 0.5
+    gossip_fan_out: _Count = 2
 
 
 class RouteSettings(_Section, frozen=True):
     """Exception to the rule that the method decides whether a call is idempotent."""
 
-    method: str
-    path_prefix: str
+    method: _Method
+    path_prefix: _Path
     idempotent: bool
 
 
 class ServerSettings(_Section, frozen=True):
     """A server of a pool."""
 
-    id: str
-    address: str
-    failure_domain: str
-    window: int
+    id: _Name
+    address: _Address
+    failure_domain: _Name
+    window: _Count
 
 
 class PoolSettings(_Section, frozen=True):
@@ -118,18 +168,18 @@
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
     """
 
-    name: str
-    kind: str
+    name: _Name
+    kind: Literal["engine", "service"]
     servers: tuple[ServerSettings, ...]
-    prompt_weight: float = 0.1
-    token_weight: float = 1.0
-    default_cost: float = 100.0
-    largest_cost: float = 8000.0
-    report_interval_s: float = 0.1
-    portion_lease_s: float = 5.0
-    max_call_s: float = 120.0
-    interactive_reserve: float = 0.0
-    load_interval_s: float = 1.0
+    prompt_weight: _Amount = 0.1
+    token_weight: _Amount = 1.0
+    default_cost: _Positive = 100.0
+    largest_cost: _Positive = 8000.0
+    report_interval_s: _Seconds = 0.1
+    portion_lease_s: _Seconds = 5.0
+    max_call_s: _Seconds = 120.0
+    interactive_reserve: _Fraction = 0.0
+    load_interval_s: _Seconds = 1.0
     orders_fenced: bool = True
     routes: tuple[RouteSettings, ...] = ()
 
@@ -164,60 +214,84 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{path}: {error}", "correct the TOML syntax") from None
-    errors: list[SettingsError] = []
-    settings = _convert(document, path, errors)
-    if settings is not None:
-        errors += _faults(settings, path)
-    if errors or settings is None:
+    settings, faults = convert_row(document, "", Settings)
+    faults += _relations(document)
+    if faults or settings is None:
+        errors = [
+            SettingsError(f"{path}: {fault.path}: {fault.message}", fault.remedy)
+            for fault in faults
+        ]
         raise ExceptionGroup(f"{path} is refused", errors)
     return settings
 
 
-def _convert(document: dict[str, Any], path: str, errors: list[SettingsError]) -> Settings | None:
-    try:
-        return msgspec.convert(document, Settings)
-    except msgspec.ValidationError as error:
-        text = str(error).replace("`", "")
-        errors.append(SettingsError(f"{path}: {text}", "correct the field, see docs/operations.md"))
-        return None
-
-
-def _faults(settings: Settings, path: str) -> list[SettingsError]:
-    errors = []
-
-    def check(valid: bool, field: str, found: object, remedy: str) -> None:
-        if not valid:
-            errors.append(SettingsError(f"{path}: {field}: found {found!r}", remedy))
-
-    router = settings.router
-    for field in ("name", "failure_domain"):
-        value = getattr(router, field)
-        check(bool(_NAME.fullmatch(value)), f"router.{field}", value, "use a-z, 0-9, '.', '-', '_'")
-    addresses = {
-        "router.caller_bind": router.caller_bind,
-        "router.peer_bind": router.peer_bind,
-        "table.address": settings.table.address,
-        "instances.address": settings.instances.address,
-    }
-    for i, seed in enumerate(settings.peers.seeds):
-        addresses[f"peers.seeds[{i}].address"] = seed.address
-    for i, pool in enumerate(settings.pools):
-        place = f"pools[{i}]"
-        kinds = ("engine", "service")
-        check(pool.kind in kinds, f"{place}.kind", pool.kind, "use engine or service")
-        check(bool(pool.servers), f"{place}.servers", [], "name at least one server")
-        reserve = pool.interactive_reserve
-        check(0 <= reserve < 1, f"{place}.interactive_reserve", reserve, "use 0 up to below 1")
-        for j, server in enumerate(pool.servers):
-            addresses[f"{place}.servers[{j}].address"] = server.address
-            field = f"{place}.servers[{j}].window"
-            check(server.window > 0, field, server.window, "use a number above 0")
-    for field, address in addresses.items():
-        remedy = "write an IP number and a port, such as 127.0.0.1:8100"
-        check(bool(_ADDRESS.fullmatch(address)), field, address, remedy)
-    for field in ("public_key", "secret_key"):
-        value = getattr(settings.peers, field)
-        check(len(value) == 40, f"peers.{field}", f"{len(value)} characters", "use 40 of Z85")
-    names = [pool.name for pool in settings.pools]
-    check(len(set(names)) == len(names), "pools", names, "give each pool its own name")
-    return errors
+def _relations(document: dict[str, Any]) -> Iterator[RowFault]:
+    """Find faults between fields, in the raw document, so that faulty rows hide none of them."""
+    pools = list(_tables(document, "pools", ""))
+    seeds = list(_tables(_table(document, "peers"), "seeds", "peers."))
+    servers = [row for path, pool in pools for row in _tables(pool, "servers", f"{path}.")]
+    if document.get("pools") == []:
+        yield RowFault("pools", "found []", "describe at least one pool")
+    yield from _duplicates(pools, "name")
+    yield from _duplicates(seeds, "name")
+    yield from _duplicates(seeds, "address")
+    yield from _duplicates(servers, "id")
+    yield from _duplicates(servers, "address")
+    router = _table(document, "router")
+    if router.get("caller_bind") == router.get("peer_bind") is not None:
+        text = f"found {router['peer_bind']!r}, which is caller_bind too"
+        yield RowFault("router.peer_bind", text, "give each its own port")
+    for path, seed in seeds:
+        if seed.get("name") == router.get("name") is not None:
+            yield RowFault(f"{path}.name", f"found {seed['name']!r}, this router", "remove it")
+    for path, pool in pools:
+        yield from _pool_relations(path, pool)
+    limits = {f.name: f.default for f in msgspec.structs.fields(GuardLimits)}
+    limits |= _table(document, "limits")
+    yield from _order("limits", limits, "target_bytes", "header_bytes")
+
+
+def _pool_relations(path: str, pool: dict[str, Any]) -> Iterator[RowFault]:
+    if pool.get("servers") == []:
+        yield RowFault(f"{path}.servers", "found []", "name at least one server")
+    defaults = {f.name: f.default for f in msgspec.structs.fields(PoolSettings)}
+    yield from _order(path, defaults | pool, "default_cost", "largest_cost")
+    yield from _order(path, defaults | pool, "report_interval_s", "portion_lease_s")
+    found: dict[tuple[object, object], str] = {}
+    for place, route in _tables(pool, "routes", f"{path}."):
+        key = (str(route.get("method")), str(route.get("path_prefix")))
+        first = found.setdefault(key, place)
+        if first != place:
+            yield RowFault(place, f"found {' '.join(key)}, as in {first}", "remove one of the two")
+
+
+def _order(path: str, row: dict[str, Any], low: str, high: str) -> Iterator[RowFault]:
+    """Check that one number is at most another."""
+    if not all(isinstance(row.get(name), int | float) for name in (low, high)):
+        return
+    if row[low] > row[high]:
+        text = f"found {row[low]!r}, more than {high} ({row[high]!r})"
+        yield RowFault(f"{path}.{low}", text, f"lower it or raise {high}")
+
+
+def _duplicates(rows: list[tuple[str, dict[str, Any]]], field: str) -> Iterator[RowFault]:
+    found: dict[str, str] = {}
+    for path, row in rows:
+        value = row.get(field)
+        if isinstance(value, str):
+            first = found.setdefault(value, path)
+            if first != path:
+                text = f"found {value!r}, as in {first}.{field}"
+                yield RowFault(f"{path}.{field}", text, "give each its own")
+
+
+def _table(row: dict[str, Any], field: str) -> dict[str, Any]:
+    value = row.get(field)
+    return value if isinstance(value, dict) else {}
+
+
+def _tables(row: dict[str, Any], field: str, prefix: str) -> Iterator[tuple[str, dict[str, Any]]]:
+    value = row.get(field)
+    for index, item in enumerate(value if isinstance(value, list) else []):
+        if isinstance(item, dict):
+            yield f"{prefix}{field}[{index}]", item
