Test the external interfaces with adapter and stand-in together

Cause: only the table service had a Protocol, and nothing checked that adapters and stand-ins agree.

Change: parsleyrudder.backends has Protocols of engines, plain services and the instance list, each with one adapter over the HTTP client. Parameterised contract tests run each adapter against its stand-in, with fault rows. The stand-ins of table, engine and instance list got the faults that the rows need; the table stand-in refuses transactions that etcd refuses (over 128 operations, one key written twice). Found and corrected in the etcd adapter: keys that are no base64 were taken as rows, and `after` below the prefix widened the read.

--- a/packages/parsleyrudder/parsleyrudder/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/__init__.py
@@ -4,7 +4,20 @@
 messages and the time in seconds, and return typed messages.
 """
 
-from . import delivery, errors, lists, membership, messages, outcomes, routing, rows, sharing, table
+from . import (
+    backends,
+    delivery,
+    errors,
+    lists,
+    membership,
+    messages,
+    outcomes,
+    routing,
+    rows,
+    sharing,
+    table,
+)
+from .backends import *  # noqa: F403
 from .delivery import *  # noqa: F403
 from .errors import *  # noqa: F403
 from .lists import *  # noqa: F403
@@ -17,6 +30,7 @@
 from .table import *  # noqa: F403
 
 __all__ = [
+    *backends.__all__,
     *delivery.__all__,
     *errors.__all__,
     *lists.__all__,
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/etcd.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/etcd.py
@@ -149,7 +149,7 @@
     request: dict[str, Any] = {"key": _b64(read.key)}
     if read.prefix:
         request["range_end"] = _b64(_prefix_end(read.key))
-        if read.after:
+        if read.after >= read.key:
             request["key"] = _b64(read.after + "\0")
     if read.limit:
         request["limit"] = str(read.limit)
@@ -172,8 +172,9 @@
 
 
 def _row(kv: dict[str, Any]) -> Row:
-    key = base64.b64decode(kv["key"]).decode()
-    return Row(key, base64.b64decode(kv.get("value", "")), int(kv["mod_revision"]))
+    key = base64.b64decode(kv["key"], validate=True).decode()
+    value = base64.b64decode(kv.get("value", ""), validate=True)
+    return Row(key, value, int(kv["mod_revision"]))
 
 
 def _b64(value: str | bytes) -> str:
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/instances.py
@@ -0,0 +1,46 @@
+"""Adapter of the platform's instance list."""
+
+from collections.abc import Callable
+
+import msgspec
+from parsleyrudder import AttemptEnd, BackendError, Instance
+
+from .http_client import HttpClient, HttpRequest
+from .whole_answer import WholeAnswer
+
+__all__ = ["HttpInstanceList"]
+
+_REMEDY = "check the instance list and its address in the settings"
+
+
+class HttpInstanceList:
+    """The instance list over the loop's HTTP client; see :class:`parsleyrudder.InstanceList`."""
+
+    def __init__(self, client: HttpClient, address: str, timeout_s: float = 2.0) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def read(self, done: Callable[[list[Instance] | BackendError], None]) -> None:
+        """Read the list and call ``done`` once with its entries or the error."""
+
+        def fail(reason: object) -> None:
+            done(BackendError(f"instance list {self._address}: {reason}", _REMEDY))
+
+        def on_answer(status: int, headers: dict[str, str], body: bytes) -> None:
+            if status != 200:
+                fail(f"status {status}")
+                return
+            try:
+                instances = msgspec.json.decode(body, type=list[Instance])
+            except msgspec.MsgspecError as error:
+                fail(error)
+                return
+            done(instances)
+
+        def on_failed(end: AttemptEnd, reason: str) -> None:
+            fail(reason)
+
+        answer = WholeAnswer(on_answer, on_failed)
+        request = HttpRequest("GET", "/instances", reuse=True)
+        answer.exchange = self._client.send(self._address, request, answer, self._timeout_s)
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
@@ -0,0 +1,155 @@
+"""Contract of model engines: the stand-in and the adapter pass the same cases."""
+
+import json
+import time
+
+import pytest
+from parsleyrudder import AttemptEnd, BackendError, EngineOrder, EngineRequest
+from parsleyrudder_adapters.engines import HttpEngines
+from parsleyrudder_standins.engine import EngineStandIn
+
+
+class Listener:
+    def __init__(self):
+        self.tokens = []
+        self.events = b""
+        self.done = []
+
+    def on_events(self, events, tokens):
+        self.events += events
+        self.tokens += tokens
+
+    def on_done(self, finish_reason):
+        self.done.append(finish_reason)
+
+    def on_failed(self, end, reason):
+        self.done.append(end)
+
+
+@pytest.fixture
+def engine(serving, client):
+    """Return a function that starts an engine: its server, its stand-in and the adapter."""
+
+    def start(window=4, token_s=0.001, fenced=True):
+        standin = EngineStandIn(window, token_s, fenced)
+        return serving(standin.handle, standin.report_load()), standin, HttpEngines(client)
+
+    return start
+
+
+def request(tokens, id="call-1", resume_from=0):
+    message = {"role": "user", "content": "hello"}
+    body = {"model": "m", "stream": True, "messages": [message]}
+    body |= {"max_tokens": tokens, "exact_tokens": True}
+    return EngineRequest(id, 1, json.dumps(body).encode(), resume_from)
+
+
+# Each row: fault, tokens, resumed from, tokens received, final event.
+STREAMS: dict[str, tuple] = {
+    "whole": (None, 20, 0, range(20), "stop"),
+    "resumed": (None, 20, 7, range(7, 20), "stop"),
+    "resumed at the end": (None, 20, 20, range(0), "stop"),
+    "cut at once": ({"mode": "cut", "after": 0}, 20, 0, range(0), AttemptEnd.BROKEN),
+    "cut later": ({"mode": "cut", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
+    "cut after a resume": ({"mode": "cut", "after": 5}, 20, 7, range(7, 12), AttemptEnd.BROKEN),
+    "no end mark": ({"mode": "stop", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
+    "events that are no JSON": ({"mode": "garbage"}, 20, 0, range(0), AttemptEnd.BROKEN),
+    "failed": ({"mode": "fail"}, 20, 0, range(0), AttemptEnd.FAILED),
+    "refused as not run": ({"mode": "refuse"}, 20, 0, range(0), AttemptEnd.REFUSED),
+    "no listener": ("stopped", 20, 0, range(0), AttemptEnd.NOT_SENT),
+}
+
+
+@pytest.mark.parametrize("name", STREAMS)
+def test_stream(loop, engine, name):
+    """Guards against gaps, repeats, a cut that counts as an end, and a wrong kind of failure."""
+    fault, tokens, first, expected, end = STREAMS[name]
+    server, standin, engines = engine()
+    if fault == "stopped":
+        server.stop_listening()
+    elif fault:
+        server.fault(**fault)
+    listener = Listener()
+    loop.call(lambda: engines.complete(server.address, request(tokens, "c", first), listener))
+    loop.until(lambda: listener.done)
+    assert listener.done == [end]
+    assert "".join(listener.tokens) == "".join(f"w{i} " for i in expected)
+    assert b"[DONE]" not in listener.events
+    assert listener.events.endswith(b"\n\n") or not listener.events
+    ran = end not in (AttemptEnd.REFUSED, AttemptEnd.FAILED, AttemptEnd.NOT_SENT)
+    assert standin.executions == ({"c": 1} if ran else {})
+
+
+@pytest.mark.parametrize("mode", ["up", "hang"])
+def test_disconnect_cancels_at_the_engine(loop, engine, mode):
+    """Guards against an engine that goes on for a caller that is gone, and late events."""
+    server, standin, engines = engine(token_s=0.005)
+    server.fault(mode)
+    listener = Listener()
+    attempt = loop.call(lambda: engines.complete(server.address, request(100000), listener))
+    loop.until(lambda: listener.tokens if mode == "up" else attempt.sent)
+    loop.call(attempt.cancel)
+    received = len(listener.tokens)
+    loop.until(lambda: standin.running == 0)
+    assert (len(listener.tokens), listener.done) == (received, [])
+
+
+def read_load(loop, engines, address):
+    results: list = []
+    loop.call(lambda: engines.load(address, results.append))
+    loop.until(lambda: results)
+    return results[0]
+
+
+def test_load_counts_waiting_requests_and_lags(loop, engine):
+    """Guards against taking a load report for the present, and a wrong field."""
+    server, standin, engines = engine(window=2, token_s=0.01)
+    listeners = [Listener() for _ in range(5)]
+    attempts = [
+        loop.call(
+            lambda i=i, each=each: engines.complete(server.address, request(9999, str(i)), each)
+        )
+        for i, each in enumerate(listeners)
+    ]
+    loop.until(lambda: (standin.running, standin.waiting) == (2, 3))
+    seen = []
+
+    def settled():
+        time.sleep(0.02)
+        load = read_load(loop, engines, server.address)
+        seen.append((load.running, load.waiting, load.window))
+        return seen[-1] == (2, 3, 2)
+
+    loop.until(settled)
+    for attempt in attempts:
+        loop.call(attempt.cancel)
+    loop.until(lambda: standin.running == 0)
+    assert read_load(loop, engines, server.address).running == 2
+    assert set(seen) <= {(0, 0, 2), (2, 3, 2)}
+
+
+@pytest.mark.parametrize(("fenced", "taken"), [(True, [True, True, False]), (False, [True] * 3)])
+def test_order_with_an_old_fencing_number(loop, engine, fenced, taken):
+    """Guards against an old coordinator whose orders take effect, where engines can refuse them."""
+    server, standin, engines = engine(fenced=fenced)
+    results: list = []
+    for fence in (5, 5, 4):
+        order = EngineOrder(fence, "load_model", f"m-{len(results)}")
+        count = len(results) + 1
+        loop.call(lambda order=order: engines.order(server.address, order, results.append))
+        loop.until(lambda count=count: len(results) == count)
+    assert results == taken
+    assert [order["argument"] for order in standin.orders] == [
+        f"m-{i}" for i, was_taken in enumerate(taken) if was_taken
+    ]
+
+
+def test_load_and_order_without_an_engine_are_errors(loop, engine):
+    """Guards against a failed read that raises in the loop or counts as an idle engine."""
+    server, _, engines = engine()
+    server.stop_listening()
+    results: list = []
+    loop.call(lambda: engines.load(server.address, results.append))
+    loop.call(lambda: engines.order(server.address, EngineOrder(1, "x"), results.append))
+    loop.until(lambda: len(results) == 2)
+    assert all(isinstance(result, BackendError) and result.remedy for result in results)
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_instances.py
@@ -0,0 +1,50 @@
+"""Contract of the instance list: the stand-in and the adapter pass the same cases."""
+
+import pytest
+from parsleyrudder import BackendError, Instance
+from parsleyrudder_adapters.instances import HttpInstanceList
+from parsleyrudder_standins.instances import InstanceListStandIn
+
+IDS = ["s-1", "s-2"]
+
+
+def read(loop, instances):
+    results: list = []
+    loop.call(lambda: instances.read(results.append))
+    loop.until(lambda: results)
+    return results[0]
+
+
+def test_change_of_state_shows_after_the_lag(loop, client, serving):
+    """Guards against an adapter that loses entries or relies on a list without lag."""
+    server = serving(InstanceListStandIn(IDS, lag_s=0.3).handle)
+    instances = HttpInstanceList(client, server.address)
+    live = [Instance(id, "live") for id in IDS]
+    assert read(loop, instances) == live
+    server.post("/standin/state", {"id": "s-2", "state": "leaving"})
+    assert read(loop, instances) == live
+    loop.until(lambda: read(loop, instances) == [live[0], Instance("s-2", "leaving")])
+
+
+FAULTS = {
+    "outage": {"mode": "down"},
+    "hang": {"mode": "hang"},
+    "status 500": {"mode": "fail", "body": "[]"},
+    "no JSON": {"mode": "garbage", "body": "<html>"},
+    "empty": {"mode": "garbage", "body": ""},
+    "no list": {"mode": "garbage", "body": "{}"},
+    "wrong entry": {"mode": "garbage", "body": '[{"id": 5, "state": "live"}]'},
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_fault_is_an_error_and_not_an_empty_list(loop, client, serving, name):
+    """Guards against taking an outage of the list for an empty fleet."""
+    server = serving(InstanceListStandIn(IDS, lag_s=0.0).handle)
+    instances = HttpInstanceList(client, server.address, timeout_s=0.2)
+    server.fault(**FAULTS[name])
+    result = read(loop, instances)
+    assert isinstance(result, BackendError)
+    assert result.remedy
+    server.fault("up")
+    assert len(read(loop, instances)) == len(IDS)
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_service.py
@@ -0,0 +1,66 @@
+"""Contract of plain services: the stand-in and the adapter pass the same cases."""
+
+import json
+
+import pytest
+from parsleyrudder import AttemptEnd, ServiceRequest
+from parsleyrudder_adapters.services import HttpServices
+from parsleyrudder_standins.service import ServiceStandIn
+
+
+class Listener:
+    def __init__(self):
+        self.results = []
+
+    def on_answer(self, status, headers, body):
+        self.results.append((status, headers, body))
+
+    def on_failed(self, end, reason):
+        self.results.append(end)
+
+
+# Each row: fault, method, repeatable, status or end of the attempt, executions.
+CASES = {
+    "read": ("up", "GET", True, 200, 1),
+    "order": ("up", "POST", False, 200, 1),
+    "error of a call that may be repeated": ("fail", "GET", True, AttemptEnd.FAILED, 1),
+    "error of a call that may not": ("fail", "POST", False, 500, 1),
+    "refused as not run": ("refuse", "POST", False, AttemptEnd.REFUSED, 0),
+    "executed, answer cut": ("cut", "POST", False, AttemptEnd.BROKEN, 1),
+    "no listener": ("stopped", "POST", False, AttemptEnd.NOT_SENT, 0),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_call(loop, client, serving, name):
+    """Guards against a wrong kind of failure, by which a call is run twice or given up."""
+    fault, method, repeatable, expected, executions = CASES[name]
+    standin = ServiceStandIn(0.005)
+    server = serving(standin.handle)
+    server.stop_listening() if fault == "stopped" else server.fault(fault)
+    body = b"" if method == "GET" else b'{"cylinders": 2}'
+    call = ServiceRequest("c-1", 1, method, "/stock/a?b=1", (), body, repeatable)
+    listener = Listener()
+    loop.call(lambda: HttpServices(client).call(server.address, call, listener))
+    loop.until(lambda: listener.results)
+    (result,) = listener.results
+    assert (result[0] if isinstance(result, tuple) else result) == expected
+    if isinstance(result, tuple):
+        answer = {"method": method, "path": "/stock/a", "request_id": "c-1"}
+        assert json.loads(result[2]) == answer
+        assert result[1]["content-type"] == "application/json"
+    assert standin.executions.get("c-1", 0) == executions
+
+
+def test_cancel_of_a_hanging_call_is_silent(loop, client, serving):
+    """Guards against an answer to a call that was given up, and a slot that stays in use."""
+    standin = ServiceStandIn(0.005)
+    server = serving(standin.handle)
+    server.fault("hang")
+    listener = Listener()
+    call = ServiceRequest("c-1", 1, "POST", "/order", (), b"{}")
+    attempt = loop.call(lambda: HttpServices(client).call(server.address, call, listener))
+    loop.until(lambda: standin.running == 1)
+    loop.call(attempt.cancel)
+    loop.until(lambda: standin.running == 0)
+    assert listener.results == []
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
@@ -19,7 +19,9 @@
 
     Requests over the batch size wait inside, as in a real engine. ``POST /standin/fault`` with
     ``{"mode": ...}`` sets a fault: ``up``, ``hang`` (accepts and says nothing), ``cut`` (each
-    stream is cut after ``after`` tokens), ``fail`` (status 500), ``refuse`` (503, not run).
+    stream is cut after ``after`` tokens), ``stop`` (each stream ends in order after ``after``
+    tokens, without its end mark), ``garbage`` (events that are no JSON), ``fail`` (status 500),
+    ``refuse`` (503, not run).
 
     :param window: requests that run at the same time.
     :param token_s: time per token.
@@ -103,6 +105,12 @@
             if self._mode == "cut" and index - first >= self._after:
                 reply.cut()
                 return
+            if self._mode == "stop" and index - first >= self._after:
+                await reply.finish()
+                return
+            if self._mode == "garbage":
+                await reply.write(b"data: {no JSON\n\n")
+                continue
             choice = {"index": 0, "delta": {"content": f"w{index} "}, "finish_reason": None}
             await _write_event(reply, {"id": id, "choices": [choice]})
         choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/instances.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/instances.py
@@ -13,12 +13,15 @@
     """States of instances; a change shows after a lag.
 
     ``POST /standin/state`` with ``{"id": ..., "state": ...}`` changes a state.
+    ``POST /standin/fault`` with ``{"mode": ...}`` sets a fault: ``up``, ``down`` (connections are
+    cut), ``hang``, ``fail`` (status 500), ``garbage`` (each answer has the body ``body``).
     """
 
     def __init__(self, ids: list[str], lag_s: float) -> None:
         self._state_by_id = dict.fromkeys(ids, "live")
         self._changes: deque[tuple[float, str, str]] = deque()
         self._lag_s = lag_s
+        self._fault: dict[str, str] = {"mode": "up"}
 
     async def handle(self, request: WebRequest, reply: Reply) -> None:
         """Answer one request."""
@@ -29,6 +32,20 @@
             self._changes.append((due, change["id"], change["state"]))
             await reply.send_json(200, {})
             return
+        if request.path == "/standin/fault":
+            self._fault = request.json()
+            await reply.send_json(200, {})
+            return
+        mode = self._fault["mode"]
+        if mode == "down":
+            reply.cut()
+            return
+        if mode == "hang":
+            await asyncio.sleep(3600)
+        if mode in ("fail", "garbage"):
+            status = 500 if mode == "fail" else 200
+            await reply.send(status, self._fault.get("body", "").encode())
+            return
         while self._changes and self._changes[0][0] <= time.monotonic():
             _, id, state = self._changes.popleft()
             self._state_by_id[id] = state
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/table.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/table.py
@@ -9,13 +9,17 @@
 
 __all__ = ["TableStandIn"]
 
+_MOST_OPERATIONS = 128
+
 
 class TableStandIn:
     """Rows by key, with revisions.
 
     ``POST /standin/fault`` with ``{"mode": ..., "delay_s": ...}`` sets a fault: ``up``, ``down``
     (connections are cut unanswered), ``slow`` (each call takes ``delay_s``), ``lose_answers``
-    (writes take effect, but their answers are cut), ``refuse`` (status 503).
+    (writes take effect, but their answers are cut), ``refuse`` (status 503), ``garbage`` (each
+    answer has the body ``body``). As in etcd, a transaction has at most 128 conditions, 128
+    operations and one write per key.
     """
 
     def __init__(self) -> None:
@@ -24,6 +28,7 @@
         self._revision = 1
         self._mode = "up"
         self._delay_s = 0.0
+        self._body = ""
         self.reads = 0
         self.writes = 0
 
@@ -33,6 +38,7 @@
             fault = request.json()
             self._mode = fault["mode"]
             self._delay_s = fault.get("delay_s", 0.0)
+            self._body = fault.get("body", "")
             await reply.send_json(200, {})
             return
         if request.path == "/standin/counts":
@@ -46,6 +52,13 @@
             return
         if self._mode == "slow":
             await asyncio.sleep(self._delay_s)
+        if self._mode == "garbage":
+            await reply.send(200, self._body.encode())
+            return
+        refusal = _refusal(request.json()) if request.path == "/v3/kv/txn" else None
+        if refusal is not None:
+            await reply.send_json(400, {"error": refusal, "code": 3})
+            return
         if request.path == "/v3/kv/txn":
             document, wrote = self._txn(request.json())
         elif request.path == "/v3/kv/range":
@@ -120,3 +133,19 @@
 
     def _header(self) -> dict[str, str]:
         return {"revision": str(self._revision)}
+
+
+def _refusal(body: dict[str, Any]) -> str | None:
+    """Return why etcd would refuse a transaction as a whole, or None."""
+    for branch in ("compare", "success", "failure"):
+        if len(body.get(branch, ())) > _MOST_OPERATIONS:
+            return "etcdserver: too many operations in txn request"
+    for branch in ("success", "failure"):
+        written = [
+            next(iter(op.values()))["key"]
+            for op in body.get(branch, ())
+            if "requestPut" in op or "requestDeleteRange" in op
+        ]
+        if len(set(written)) < len(written):
+            return "etcdserver: duplicate key given in txn request"
+    return None
