--- a/packages/parsleyrudder/parsleyrudder/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from . import (
+    backends,
     delivery,
     errors,
     lists,
@@ -13,9 +14,11 @@
     outcomes,
     placement,
     routing,
+    rows,
     sharing,
     table,
 )
+from .backends import *  # noqa: F403
 from .delivery import *  # noqa: F403
 from .errors import *  # noqa: F403
 from .lists import *  # noqa: F403
@@ -24,10 +27,12 @@
 from .outcomes import *  # noqa: F403
 from .placement import *  # noqa: F403
 from .routing import *  # noqa: F403
+from .rows import *  # noqa: F403
 from .sharing import *  # noqa: F403
 from .table import *  # noqa: F403
 
 __all__ = [
+    *backends.__all__,
     *delivery.__all__,
     *errors.__all__,
     *lists.__all__,
@@ -36,6 +41,7 @@
     *outcomes.__all__,
     *placement.__all__,
     *routing.__all__,
+    *rows.__all__,
     *sharing.__all__,
     *table.__all__,
 ]
