--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
@@ -30,6 +30,7 @@
         self.rng = random.Random(seed)
         self.fault_rate = fault_rate
         self.delay_s = delay_s
+        self.script: list[str] = []
         self.time = 0.0
         self.rows = {}
         self.revision = 0
@@ -51,9 +52,9 @@
     def txn(self, txn, done):
         """Apply a transaction after a while; its answer may be lost, or come before its effect."""
         self.txns.append(txn)
-        fault = self.rng.random() < self.fault_rate and self.rng.choice(
-            ["refused", "lost", "late", "slow"]
-        )
+        fault = self.script.pop(0) if self.script else ""
+        if self.rng.random() < self.fault_rate:
+            fault = self.rng.choice(["refused", "lost", "late", "slow"])
         if fault == "refused":
             self.after(0.01, lambda: done(TableError("refused", "", False)))
         elif fault == "late":
@@ -167,6 +168,25 @@
     assert len(results) == 1
 
 
+@pytest.mark.parametrize(
+    ("faults", "kind", "left"),
+    [
+        (["lost"], "KeyClaim", KeyState.RUNNING),
+        (["refused"], "Failure", None),
+        (["lost", "refused"], "Failure", None),
+        (["lost", "lost", "lost", "refused"], "Failure", None),
+    ],
+)
+def test_lost_answer_of_a_create_is_settled(faults, kind, left):
+    """Without it, the own row would be taken for another router's, or stay for a day."""
+    world = World(0, fault_rate=0.0)
+    world.script = faults
+    results = claim(world.router("r1"))
+    world.run(30.0)
+    assert [type(result).__name__ for result in results] == [kind]
+    assert state(world) is left
+
+
 def test_batch_with_one_taken_key_falls_back_to_single_writes():
     world = World(0, fault_rate=0.0)
     first, second = world.router("r1"), world.router("r2")
