--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -120,7 +120,8 @@
         if self.ended:
             return
         lines = self._head(status, headers)
-        lines.append("Cache-Control: no-cache")
+        if not any(line.lower().startswith("cache-control:") for line in lines):
+            lines.append("Cache-Control: no-cache")
         # Without chunks (HTTP/1.0) the end of the connection ends the answer.
         self._chunked = not self.request.http_1_0
         if self._chunked:
@@ -144,13 +145,16 @@
             self._front.write(self._sock, b"0\r\n\r\n")
         self._end()
 
-    def abort(self) -> None:
-        """Close the connection so that the caller sees that the answer is not complete."""
+    def abort(self, discard: bool = False) -> None:
+        """Close the connection so that the caller sees that the answer is not complete.
+
+        :param discard: drop what the caller has not read yet, as it may never do so.
+        """
         if not self.ended:
             self.ended = True
             # A chunked answer lacks its last chunk; one that ends with the connection needs a
             # reset to look different from a complete one.
-            self._front.abort(self._sock, reset=not self._chunked)
+            self._front.abort(self._sock, reset=discard or not self._chunked)
 
     def buffered_bytes(self) -> int:
         """Return the bytes that the caller has not read yet."""
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -90,6 +90,8 @@
     :ivar peer_bind: ``host:port`` to listen on for other routers, and where they reach this one.
     :ivar address_ttl_s: time for which callers may keep an answer to "which address".
     :ivar stop_timeout_s: time after SIGTERM at which calls still in flight are cut.
+    :ivar key_ttl_s: time for which an idempotency key keeps the result of its call.
+    :ivar key_wait_s: time that a call waits for the table to accept its idempotency key.
     """
 
     name: _Name
@@ -102,6 +104,8 @@
     config_max_age_s: _Seconds = 600.0
     default_deadline_s: _Seconds = 60.0
     write_stall_s: _Seconds = 20.0
+    key_ttl_s: _Seconds = 86400.0
+    key_wait_s: _Seconds = 1.0
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
@@ -164,6 +168,8 @@
     :ivar kind: ``engine`` or ``service``.
     :ivar default_cost: expected cost of a call as long as nothing is known.
     :ivar largest_cost: largest cost that one call may have.
+    :ivar first_byte_s: time from the start of an attempt to the first byte of its answer.
+    :ivar server_silence_s: time between two parts of an answer.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
     :ivar policy: how slots are shared; all but ``fair`` are baselines for measurements.
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
@@ -179,6 +185,8 @@
     report_interval_s: _Seconds = 0.1
     portion_lease_s: _Seconds = 5.0
     max_call_s: _Seconds = 120.0
+    first_byte_s: _Seconds = 30.0
+    server_silence_s: _Seconds = 20.0
     interactive_reserve: _Fraction = 0.0
     policy: Literal["fair", "fifo", "local-fair", "static"] = "fair"
     load_interval_s: _Seconds = 1.0
@@ -197,6 +205,13 @@
     limits: GuardLimits = GuardLimits()
 
 
+_DEFAULT_BY_NAME = {
+    field.name: field.default
+    for section in (RouterSettings, PoolSettings)
+    for field in msgspec.structs.fields(section)
+}
+
+
 def load_settings(path: str) -> Settings:
     """Read and check a settings file.
 
@@ -248,6 +263,7 @@
             yield RowFault(f"{path}.name", f"found {seed['name']!r}, this router", "remove it")
     for path, pool in pools:
         yield from _pool_relations(path, pool)
+        yield from _key_relations(path, pool, router)
     limits = {f.name: f.default for f in msgspec.structs.fields(GuardLimits)}
     limits |= _table(document, "limits")
     yield from _order("limits", limits, "target_bytes", "header_bytes")
@@ -267,6 +283,16 @@
             yield RowFault(place, f"found {' '.join(key)}, as in {first}", "remove one of the two")
 
 
+def _key_relations(path: str, pool: dict[str, Any], router: dict[str, Any]) -> Iterator[RowFault]:
+    """Check that no key expires while its call runs, since a repeat would then run as well."""
+    ttl_s = router.get("key_ttl_s", _DEFAULT_BY_NAME["key_ttl_s"])
+    longest_s = pool.get("max_call_s", _DEFAULT_BY_NAME["max_call_s"])
+    numbers = all(isinstance(value, int | float) for value in (ttl_s, longest_s))
+    if numbers and ttl_s < 2 * longest_s:
+        remedy = f"use at least twice {path}.max_call_s, {2 * longest_s:g}"
+        yield RowFault("router.key_ttl_s", f"found {ttl_s!r}", remedy)
+
+
 def _order(path: str, row: dict[str, Any], low: str, high: str) -> Iterator[RowFault]:
     """Check that one number is at most another."""
     if not all(isinstance(row.get(name), int | float) for name in (low, high)):
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
@@ -52,7 +52,7 @@
     "cut at once": ({"mode": "cut", "after": 0}, 20, 0, range(0), AttemptEnd.BROKEN),
     "cut later": ({"mode": "cut", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
     "cut after a resume": ({"mode": "cut", "after": 5}, 20, 7, range(7, 12), AttemptEnd.BROKEN),
-    "no end mark": ({"mode": "stop", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
+    "no end mark": ({"mode": "end", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
     "events that are no JSON": ({"mode": "garbage"}, 20, 0, range(0), AttemptEnd.BROKEN),
     "failed": ({"mode": "fail"}, 20, 0, range(0), AttemptEnd.FAILED),
     "refused as not run": ({"mode": "refuse"}, 20, 0, range(0), AttemptEnd.REFUSED),
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
@@ -6,7 +6,9 @@
 import time
 import zlib
 from typing import Any
+from urllib.parse import parse_qs
 
+from .cache_log import CacheLog
 from .web import Reply, WebRequest
 
 __all__ = ["EngineStandIn"]
@@ -21,9 +23,10 @@
 
     Requests over the batch size wait inside, as in a real engine. ``POST /standin/fault`` with
     ``{"mode": ...}`` sets a fault: ``up``, ``hang`` (accepts and says nothing), ``cut`` (each
-    stream is cut after ``after`` tokens), ``stop`` (each stream ends in order after ``after``
-    tokens, without its end mark), ``garbage`` (events that are no JSON), ``fail`` (status 500),
-    ``refuse`` (503, not run).
+    stream is cut after ``after`` tokens), ``end`` (it ends there without its end mark), ``stop``
+    (it says nothing more there), ``garbage`` (events that are no JSON), ``fail`` (status 500),
+    ``refuse`` (503, not run). With ``{"ignore_resume": true}`` streams always start at the first
+    token.
 
     :param window: requests that run at the same time.
     :param token_s: time per token.
@@ -38,6 +41,8 @@
         self._fence = 0
         self._mode = "up"
         self._after = 0
+        self._ignore_resume = False
+        self._cache = CacheLog()
         self.running = 0
         self.waiting = 0
         self._reported = {"running": 0, "waiting": 0, "window": window}
@@ -62,11 +67,15 @@
             await self._complete(request, reply)
         elif request.path == "/load":
             await reply.send_json(200, self._reported)
+        elif request.path == "/cache/events":
+            after = int(parse_qs(request.query).get("after", ["0"])[0])
+            await reply.send_json(200, self._cache.published(after))
         elif request.path == "/orders":
             await self._order(request, reply)
         elif request.path == "/standin/fault":
             fault = request.json()
             self._mode, self._after = fault["mode"], fault.get("after", 0)
+            self._ignore_resume = fault.get("ignore_resume", False)
             await reply.send_json(200, {})
         elif request.path == "/standin/counts":
             counts = {"executions": self.executions, "most_running": self.most_running}
@@ -99,22 +108,23 @@
         self._service.change_running(user, 1)
         try:
             first = int(request.headers.get("x-resume-from", 0))
-            await self._stream(body, id, first, reply)
+            self._cache.used(body["messages"])
+            await self._stream(body, id, 0 if self._ignore_resume else first, reply)
         finally:
             self.running -= 1
             self._service.change_running(user, -1)
             self._slots.release()
 
     async def _stream(self, body: dict[str, Any], id: str, first: int, reply: Reply) -> None:
-        await reply.start(200, {"Content-Type": "text/event-stream"})
+        headers = {"Content-Type": "text/event-stream"}
+        if first:
+            headers["X-Resumed-From"] = str(first)
+        await reply.start(200, headers)
         total = tokens_of(body)
         for index in range(first, total):
             await asyncio.sleep(self._token_s)
-            if self._mode == "cut" and index - first >= self._after:
-                reply.cut()
-                return
-            if self._mode == "stop" and index - first >= self._after:
-                await reply.finish()
+            if self._mode in ("cut", "end", "stop") and index - first >= self._after:
+                await self._break(reply)
                 return
             if self._mode == "garbage":
                 await reply.write(b"data: {no JSON\n\n")
@@ -127,6 +137,14 @@
         await reply.write(b"data: [DONE]\n\n")
         await reply.finish()
 
+    async def _break(self, reply: Reply) -> None:
+        if self._mode == "cut":
+            reply.cut()
+        elif self._mode == "end":
+            await reply.finish()
+        else:
+            await asyncio.sleep(3600)
+
     async def _order(self, request: WebRequest, reply: Reply) -> None:
         order = request.json()
         if self._fenced and order["fence"] < self._fence:
