Count coordinator promises from the sending of grants

A holder counted a promise from its receipt, while its giver was bound from its sending, so a delayed report stretched the holder's right past the binding. A new holder granted as soon as its record was written, without hearing from the old view. A renewal whose answer was lost could leave the record with a view that the holder did not know.

The holder now counts a promise from the sending of the grant that it acknowledges, acts only once a majority of the replaced view follows its epoch, repeats that view until then, and needs a majority of an unconfirmed view as well. Grants go only to routers that the record covers, because a successor waits only for those.

--- /dev/null
+++ b/packages/parsleyrudder/parsleyrudder/membership/spread.py
@@ -0,0 +1,96 @@
+"""The configuration in force at one router, and its exchange with the table and with peers.
+
+A version is never replaced by a lower one, wherever it comes from.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..lists import Config, Difference, LogEntry, apply_difference, compose, difference
+from ..messages import ConfigReply, ConfigRequest
+
+__all__ = ["ConfigState"]
+
+_HISTORY = 64
+
+
+@dataclass(slots=True)
+class ConfigState:
+    """Configuration in force, with the changes that led to it.
+
+    :param me: name of this router.
+    :ivar confirmed_at: time at which ``config`` was last known to be the newest version.
+    """
+
+    me: str
+    config: Config = field(default_factory=Config)
+    confirmed_at: float = 0.0
+    _history: deque[tuple[int, Difference]] = field(default_factory=lambda: deque(maxlen=_HISTORY))
+
+    def adopt(self, config: Config, now: float) -> bool:
+        """Put a configuration in force unless it is older than the present one.
+
+        :returns: whether it is a new version.
+        """
+        if config.version < self.config.version:
+            return False
+        self.confirmed_at = now
+        if config.version == self.config.version:
+            return False
+        self._history.append((self.config.version, difference(self.config, config)))
+        self.config = config
+        return True
+
+    def on_head(self, version: int, now: float) -> bool:
+        """Take the newest version as the table has it; return whether this router is behind."""
+        if version <= self.config.version:
+            self.confirmed_at = now
+            return False
+        return True
+
+    def after_log(self, entries: Iterable[LogEntry]) -> Config | None:
+        """Return the configuration after log entries, or None if an entry is missing."""
+        config = self.config
+        for entry in entries:
+            if entry.version <= config.version:
+                continue
+            if entry.version != config.version + 1:
+                return None
+            config = apply_difference(config, entry.diff, entry.version)
+        return config
+
+    def on_peer_version(self, version: int, now: float) -> ConfigRequest | None:
+        """Hear of a peer's version; return the request to send to it if it is ahead."""
+        have = self.config.version
+        if version > have:
+            return ConfigRequest(self.me, have)
+        if version == have and version:
+            self.confirmed_at = max(self.confirmed_at, now)
+        return None
+
+    def on_request(self, request: ConfigRequest) -> ConfigReply | None:
+        """Return the answer to a peer that is behind, or None if it is not."""
+        if request.have >= self.config.version:
+            return None
+        base, diff = request.have, self._since(request.have)
+        if diff is None:
+            base, diff = 0, difference(Config(), self.config)
+        return ConfigReply(self.me, base, self.config.version, diff)
+
+    def on_reply(self, reply: ConfigReply, now: float) -> bool:
+        """Take changes from a peer; return whether a new version came into force."""
+        if reply.version <= self.config.version or reply.base not in (0, self.config.version):
+            return False
+        base = Config() if reply.base == 0 else self.config
+        return self.adopt(apply_difference(base, reply.diff, reply.version), now)
+
+    def _since(self, version: int) -> Difference | None:
+        """Return the changes after a version, or None if they are not kept that far back."""
+        result: Difference | None = None
+        for base, diff in self._history:
+            if base == version:
+                result = diff
+            elif result is not None:
+                result = compose(result, diff)
+        return result if version else None
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -156,6 +156,10 @@
         self._update_limits()
         return self._regrant(now) if gone and self.is_ready(now) else []
 
+    def routers(self) -> set[str]:
+        """Return the routers whose portions have not returned."""
+        return set(self._routers)
+
     def router_left(self, name: str) -> None:
         """Forget a router that has stopped after finishing its calls."""
         self._routers.pop(name, None)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -82,7 +82,9 @@
             ),
             CostEstimator(settings.default_cost),
         )
-        self.lease = CoordinatorLease(settings.name, context.name, context.incarnation)
+        self.lease = CoordinatorLease(
+            settings.name, context.name, context.incarnation, started_at=context.now()
+        )
         self.coordinator: Coordinator | None = None
         self._user_by_call: dict[str, PoolUser] = {}
         self._timer: Timer | None = None
@@ -148,10 +150,12 @@
     def on_report(self, report: Report) -> None:
         """Take a router's report, if this router coordinates the pool."""
         now = self._context.now()
-        if not report.table_up:
-            self.lease.on_promise(report.sender, now)
+        self.lease.on_report(report.sender, report.epoch, report.grant, report.table_up)
+        self._check_coordinator()
         if self.coordinator is None or not self.lease.may_grant(now):
             return
+        if not self.lease.covers(report.sender):
+            return
         self._deliver(self.coordinator.on_report(report, now))
 
     def on_grant(self, grant: Grant) -> None:
@@ -195,12 +199,15 @@
         self._pump()
 
     def _lease_step(self, now: float) -> None:
-        view = self._context.view.staying(now)
-        txn = None if self._stopping else self.lease.next_txn(now, self._is_candidate(view), view)
+        if self._stopping:
+            return
+        candidate = self._is_candidate(self._context.view.staying(now))
+        view = {*self._context.view.live(now)}
+        if self.coordinator is not None:
+            view |= self.coordinator.routers()
+        txn = self.lease.next_txn(now, candidate, view)
         if txn is not None:
             self._run_lease_txn(txn, now)
-        elif not self._context.table_health.up:
-            self.lease.promise(now)
 
     def _is_candidate(self, view: list[str]) -> bool:
         """Whether this router should hold the lease: the present holder, or the first by hash."""
@@ -221,7 +228,7 @@
 
     def _check_coordinator(self) -> None:
         """Begin or end coordination as the lease says."""
-        if not self.lease.is_holder():
+        if not self.lease.is_acting():
             if self.coordinator is not None:
                 log_event(_LOGGER, "coordination_ended", pool=self.name, epoch=self.lease.epoch)
             self.coordinator = None
@@ -260,6 +267,7 @@
 
     def _deliver(self, grants: Iterable[tuple[str, Grant]]) -> None:
         for receiver, grant in grants:
+            self.lease.on_granted(receiver, grant.number, self._context.now())
             if receiver == self._context.name:
                 self.on_grant(grant)
             else:
@@ -289,6 +297,12 @@
         now = self._context.now()
         for user in list(self._user_by_call.values()):
             user.accrue(now)
+        if self.lease.may_follow(now):
+            self.scheduler.follow(self.lease.epoch)
+        if not self.lease.may_report(self.scheduler.epoch, now):
+            return
+        if not self._context.table_health.up:
+            self.lease.promise()
         report = self.scheduler.report(now, self._context.table_health.up)
         if self.lease.is_holder():
             self.on_report(report)
