--- a/packages/parsleyrudder/parsleyrudder/sharing/portions.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/portions.py
@@ -179,6 +179,10 @@
         self.expires_at = max(self.expires_at, expires_at)
         self._drop_empty()
 
+    def is_leased(self, now: float) -> bool:
+        """Whether the lease is running, so that a first byte may be sent."""
+        return now < self.expires_at
+
     def idle(self, name: str, now: float) -> int:
         """Return the slots of a resource that may be taken now; 0 once the lease has ended."""
         portion = self.portion_by_name.get(name)
