Make sharing fair and its ledger exact under backlog

Cause: routers above their target reused every slot whose call ended, so slots never moved under backlog; the floor of virtual times followed members that were not backlogged or were at their concurrency limit, which earned credit for themselves and for newcomers; the quantum was the mean cost, so members with costly calls got many slots for a small lag; a new coordinator's first grant took all portions away, and no router told it the old virtual times; a lost router that came back kept its slots counted twice; the debt was capped before it was added.

Change: release before dispatch; a floor of contending members; a quantum that covers the longest running calls; grant numbers that change with the portions only, so a late repeat can't undo a release; carried virtual times per member; lost portions by router; ledger, totals, order and queues indexed so that a report costs what it names; durations and drain rates for refusals and Retry-After; rate limits with an equal part of the burst per router.

--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -56,11 +56,13 @@
     """A virtual time received from the previous coordinator, for its successor.
 
     :ivar counted: the sender's own ``served`` that this virtual time includes.
+    :ivar admitted: the sender's own ``admitted`` that the previous coordinator has counted.
     """
 
     member: str
     vt: float
     counted: float
+    admitted: int
 
 
 class Holding(_Part, frozen=True):
@@ -81,6 +83,7 @@
     :ivar finished: calls finished since the router's incarnation began.
     :ivar finished_cost: cost of these calls.
     :ivar carried: what the previous coordinator said last; sent until a new one has answered.
+    :ivar floor: lowest virtual time of the contending members, as the sender knows it.
     """
 
     pool: str
@@ -96,6 +99,7 @@
     slots: tuple[Holding, ...] = ()
     concurrency: tuple[Holding, ...] = ()
     carried: tuple[Carried, ...] = ()
+    floor: float = 0.0
 
 
 class MemberTotal(_Part, frozen=True):
@@ -118,7 +122,9 @@
     """Answer of the coordinator of a pool.
 
     :ivar epoch: epoch of the coordinator's lease.
-    :ivar number: grows with each grant of one epoch to one router.
+    :ivar number: grows with each change of the portions of one router in one epoch. A grant that
+        repeats a number renews the lease and brings newer totals, but sets no portions, so that a
+        repeat that arrives late can't undo a release.
     :ivar answers: sequence number of the report whose sending starts the portions' lease.
     :ivar incarnation: incarnation of the router that is addressed.
     :ivar lease_s: length of the portions' lease in seconds.
@@ -126,8 +132,9 @@
     :ivar slots: server and slots that the router may hold; a server not named has none.
     :ivar concurrency: member and calls that the router may run.
     :ivar contended: whether calls wait anywhere for which no slot is left.
-    :ivar floor: lowest virtual time of the active members.
-    :ivar quantum: mean cost of a call in the pool.
+    :ivar floor: lowest virtual time of the contending members.
+    :ivar quantum: cost that one slot is taken to serve in the order of members.
+    :ivar routers: routers that report to the coordinator; they share each burst of a rate limit.
     """
 
     pool: str
@@ -144,6 +151,7 @@
     contended: bool
     floor: float
     quantum: float
+    routers: int = 1
 
 
 class RouterState(_Part, frozen=True):
--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -4,11 +4,13 @@
 from .coordination import Coordinator, PoolRules
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
-from .ordering import Claim, allocate, split
+from .ordering import Claim, allocate, normalised_shares, split
 from .portions import Ledger, LostPortions, Portion, Portions
 from .queueing import MemberQueue, WaitingCall
-from .scheduling import Choose, PoolScheduler, SchedulerRules, normalised_shares
+from .scheduling import Choose, PoolScheduler, SchedulerRules
+from .targets import Targets, compute_targets
 from .totals import ServiceTotals
+from .waits import DrainRate, DurationEstimator
 
 __all__ = [
     "Choose",
@@ -19,6 +21,8 @@
     "CostModel",
     "LeaseRecord",
     "LeaseRules",
+    "DrainRate",
+    "DurationEstimator",
     "Ledger",
     "LostPortions",
     "MemberLimits",
@@ -29,9 +33,11 @@
     "Portions",
     "SchedulerRules",
     "ServiceTotals",
+    "Targets",
     "TokenBucket",
     "WaitingCall",
     "allocate",
+    "compute_targets",
     "is_majority",
     "normalised_shares",
     "split",
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -3,18 +3,25 @@
 It owns the ledger of portions and the service totals of its pool. It never sees a call.
 """
 
+import heapq
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..messages import Grant, Report
-from .ordering import Claim, allocate, split
+from .ordering import split
 from .portions import Ledger, LostPortions
+from .targets import Targets, compute_targets
 from .totals import ServiceTotals
 
 __all__ = ["Coordinator", "PoolRules"]
 
 _PUSH_GAP_S = 0.02
 _MEAN_RATE = 0.05
+_QUANTUM_FADE_S = 10.0
+# Reports come at the report interval with some jitter; without slack every second one would come
+# just before the targets are due.
+_RECOMPUTE_SLACK = 0.9
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,6 +33,8 @@
     :ivar max_call_s: longest time that a call may run.
     :ivar default_cost: expected cost of a call as long as none has finished.
     :ivar largest_cost: largest cost that one call may have.
+    :ivar report_interval_s: time between two computations of the targets.
+    :ivar load_lag_s: age that a server's load report may have.
     """
 
     portion_lease_s: float = 5.0
@@ -33,6 +42,8 @@
     max_call_s: float = 120.0
     default_cost: float = 100.0
     largest_cost: float = 8000.0
+    report_interval_s: float = 0.1
+    load_lag_s: float = 2.0
 
     @property
     def reclaim_s(self) -> float:
@@ -41,15 +52,27 @@
 
 
 @dataclass(slots=True)
-class _Router:
-    """What the coordinator knows of one router."""
+class _Seen:
+    """Numbers of a router that outlive its record, so that nothing old is taken for new."""
 
     incarnation: int
     seq: int = 0
+    number: int = 0
+
+
+@dataclass(slots=True)
+class _Router:
+    """What the coordinator knows of one router that holds portions.
+
+    :ivar number: number of its last grant.
+    :ivar target: target of its last grant.
+    """
+
+    seen: _Seen
     received_at: float = 0.0
     number: int = 0
     acknowledged: int = 0
-    pushed_at: float = 0.0
+    pushed_at: float = -math.inf
     target: int = 0
     finished: int = 0
     finished_cost: float = 0.0
@@ -84,31 +107,43 @@
     _lost_slots: LostPortions = field(default_factory=LostPortions)
     _lost_concurrency: LostPortions = field(default_factory=LostPortions)
     _routers: dict[str, _Router] = field(default_factory=dict)
-    _incarnations: dict[str, int] = field(default_factory=dict)
-    _used_by_server: dict[str, dict[str, int]] = field(default_factory=dict)
+    _seen: dict[str, _Seen] = field(default_factory=dict)
+    _targets: Targets = field(default_factory=Targets)
+    _computed_at: float = -math.inf
+    _ready: bool = False
+    _mean_cost: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.quantum = self.quantum or self.rules.default_cost
+        self._mean_cost = self.quantum
 
     def set_servers(self, window_by_server: Mapping[str, int]) -> None:
         """Set the window of each server; servers left out are leaving or gone."""
         self._window_by_server = dict(window_by_server)
-        self._update_limits()
+        self.slots.set_limits(
+            {server: self._server_limit(server) for server in self._window_by_server}
+        )
+        self._computed_at = -math.inf
 
     def set_members(
         self, share_by_member: Mapping[str, float], concurrency_by_member: Mapping[str, int]
     ) -> None:
         """Set shares (normalised to average 1) and concurrency limits from the lists."""
         self.totals.share_by_member = dict(share_by_member)
-        self._concurrency_by_member = dict(concurrency_by_member)
-        self._update_limits()
+        self.totals.limit_by_member = self._concurrency_by_member = dict(concurrency_by_member)
+        self.concurrency.set_limits(
+            {member: self._member_limit(member) for member in self._concurrency_by_member}
+        )
+        self._computed_at = -math.inf
 
-    def server_load(self, server: str, running: int) -> None:
-        """Take a server's load report: lost slots that it does not show as running return."""
-        known = sum(self._used_by_server.get(server, {}).values())
-        if self._lost_slots.total(server):
-            self._lost_slots.limit(server, max(0, running - known))
-            self._update_limits()
+    def server_load(self, server: str, running: int, now: float) -> None:
+        """Take a server's load report: lost slots that it does not show as in use return.
+
+        :param running: calls that the server runs or has queued.
+        """
+        others = max(0, running - self.slots.used(server))
+        if self._lost_slots.limit(server, others, now - self.rules.load_lag_s):
+            self._limits_changed({server}, set())
 
     def is_ready(self, now: float) -> bool:
         """Whether the portions of all earlier grants are known or have ended."""
@@ -121,23 +156,39 @@
 
         :returns: grants with their receivers: the sender, and others whose portions change.
         """
-        router = self._accept(report, now)
-        if router is None:
+        if not self._is_new(report):
             return []
-        self.totals.add(report.sender, report.incarnation, report.members, report.carried)
-        acknowledged = report.epoch == self.epoch and report.grant >= router.number
-        self.slots.reported(report.sender, report.slots, acknowledged)
-        self.concurrency.reported(report.sender, report.concurrency, acknowledged)
+        name = report.sender
+        router = self._routers.get(name)
+        if router is not None and router.seen.incarnation != report.incarnation:
+            self._lose(name, now, ended=True)
+            router = None
+        joins = router is None
+        if router is None:
+            router = self._join(report)
+        router.seen.seq = report.seq
+        router.received_at = now
+        self.totals.add(name, report.incarnation, report.members, report.carried, report.floor)
+        if joins:
+            self.totals.cap(2 * self.rules.largest_cost)
         if report.epoch == self.epoch:
             router.acknowledged = max(router.acknowledged, report.grant)
-        self._note_use(report)
+        acknowledged = router.acknowledged >= router.number and not joins
+        self.slots.reported(name, report.slots, acknowledged)
+        self.concurrency.reported(name, report.concurrency, acknowledged)
+        if joins:
+            self.slots.adopt(name)
+            self.concurrency.adopt(name)
         self._learn_quantum(router, report)
         router.members = tuple(member.member for member in report.members)
         router.waits = any(member.waiting for member in report.members)
-        if not self.is_ready(now):
-            held = {report.sender: sum(self.slots.held_by(report.sender).values())}
-            return [(report.sender, self._grant(report.sender, router, held, {}, False, now))]
-        return self._regrant(now, report.sender)
+        if not self._check_ready(now):
+            return [(name, self._grant(name, router, self.slots.granted_total(name), now))]
+        shortage = not self._targets.contended or not self.slots.granted_total(name)
+        pushes = self._refresh_targets(now, router.waits and shortage)
+        self._change_portions(name, router)
+        grants = [(name, self._grant(name, router, self._target(name), now))]
+        return grants + self._push(pushes, name, now)
 
     def tick(self, now: float) -> list[tuple[str, Grant]]:
         """Take portions back from routers whose lease has ended.
@@ -151,59 +202,57 @@
         ]
         for name in gone:
             self._lose(name, now)
-        self._lost_slots.expire(now)
-        self._lost_concurrency.expire(now)
-        self._update_limits()
-        return self._regrant(now) if gone and self.is_ready(now) else []
-
-    def router_left(self, name: str) -> None:
-        """Forget a router that has stopped after finishing its calls."""
-        self._routers.pop(name, None)
-        self.totals.drop_router(name)
-        self.slots.remove_router(name)
-        self.concurrency.remove_router(name)
-        self._drop_use(name)
-
-    def _accept(self, report: Report, now: float) -> _Router | None:
-        """Return the sender's record, or None for a report that is old or repeated."""
-        if report.incarnation < self._incarnations.get(report.sender, 0):
-            return None
-        router = self._routers.get(report.sender)
-        if router is not None and router.incarnation < report.incarnation:
-            self._lose(report.sender, now, ended=True)
-            router = None
-        if router is None:
-            returning = self._incarnations.get(report.sender) == report.incarnation
-            self._incarnations[report.sender] = report.incarnation
-            router = self._routers[report.sender] = _Router(report.incarnation)
-            if returning:
-                self._cap_debt()
-        if report.seq <= router.seq:
-            return None
-        router.seq = report.seq
-        router.received_at = now
-        return router
-
-    def _cap_debt(self) -> None:
-        self.totals.cap(2 * self.rules.largest_cost)
-
-    def _note_use(self, report: Report) -> None:
-        self._drop_use(report.sender)
-        for holding in report.slots:
-            self._used_by_server.setdefault(holding.name, {})[report.sender] = holding.used
+        self._limits_changed(self._lost_slots.expire(now), self._lost_concurrency.expire(now))
+        if not gone or not self._check_ready(now):
+            return []
+        return self._push(self._refresh_targets(now, True), "", now)
 
-    def _drop_use(self, name: str) -> None:
-        for used in self._used_by_server.values():
-            used.pop(name, None)
+    def _is_new(self, report: Report) -> bool:
+        """Whether a report is neither old nor repeated."""
+        seen = self._seen.get(report.sender)
+        if seen is None:
+            return True
+        return (report.incarnation, report.seq) > (seen.incarnation, seen.seq)
+
+    def _join(self, report: Report) -> _Router:
+        """Begin a record of a router."""
+        name = report.sender
+        seen = self._seen.get(name)
+        if seen is not None and seen.incarnation == report.incarnation:
+            # Its report says what it still uses, so nothing has to be assumed any more.
+            self._limits_changed(
+                self._lost_slots.remove_router(name), self._lost_concurrency.remove_router(name)
+            )
+        else:
+            seen = self._seen[name] = _Seen(report.incarnation)
+            self._limits_changed(set(), self._lost_concurrency.remove_router(name))
+        seen.number = 1 + max(seen.number, report.grant if report.epoch == self.epoch else 0)
+        self._routers[name] = _Router(seen, number=seen.number)
+        self._computed_at = -math.inf
+        return self._routers[name]
 
     def _learn_quantum(self, router: _Router, report: Report) -> None:
         calls = report.finished - router.finished
         if calls > 0 and router.finished:
             mean = max(0.0, report.finished_cost - router.finished_cost) / calls
             weight = min(1.0, calls * _MEAN_RATE)
-            self.quantum += weight * (max(mean, 1e-6) - self.quantum)
+            self._mean_cost += weight * (max(mean, 1e-6) - self._mean_cost)
         router.finished, router.finished_cost = report.finished, report.finished_cost
 
+    def _check_ready(self, now: float) -> bool:
+        """Whether portions may be moved; notes what routers that never reported may still use."""
+        if self._ready:
+            return True
+        if not self.is_ready(now):
+            return False
+        self._ready = True
+        missing = self.expected - self._routers.keys()
+        if missing:
+            free = self.slots.free_by_name()
+            self._lost_slots.add("", free, now, now + self.rules.max_call_s)
+            self._limits_changed(set(free), set())
+        return True
+
     def _lose(self, name: str, now: float, ended: bool = False) -> None:
         """End a router's lease; what it may still use counts against windows and limits.
 
@@ -213,126 +262,144 @@
         del self._routers[name]
         self.totals.drop_router(name)
         until = now + self.rules.max_call_s
-        self._lost_slots.add(self.slots.remove_router(name), until)
+        slots = self.slots.remove_router(name)
+        self._lost_slots.add(name, slots, now, until)
         concurrency = self.concurrency.remove_router(name)
         if not ended:
-            self._lost_concurrency.add(concurrency, until)
-        self._drop_use(name)
-        self._update_limits()
-
-    def _update_limits(self) -> None:
-        self.slots.limit_by_name = {
-            server: max(0, window - self._lost_slots.total(server))
-            for server, window in self._window_by_server.items()
-        }
-        self.concurrency.limit_by_name = {
-            member: max(0, limit - self._lost_concurrency.total(member))
-            for member, limit in self._concurrency_by_member.items()
-        }
-
-    def _regrant(self, now: float, sender: str = "") -> list[tuple[str, Grant]]:
-        targets, wanted, contended = self._targets()
+            self._lost_concurrency.add(name, concurrency, now, until)
+        self._limits_changed(set(slots), set(concurrency))
+
+    def _server_limit(self, server: str) -> int:
+        return max(0, self._window_by_server[server] - self._lost_slots.total(server))
+
+    def _member_limit(self, member: str) -> int:
+        return max(0, self._concurrency_by_member[member] - self._lost_concurrency.total(member))
+
+    def _limits_changed(self, servers: set[str], members: set[str]) -> None:
+        for server in servers & self._window_by_server.keys():
+            self.slots.set_limit(server, self._server_limit(server))
+            self._computed_at = -math.inf
+        for member in members & self._concurrency_by_member.keys():
+            self.concurrency.set_limit(member, self._member_limit(member))
+
+    def _refresh_targets(self, now: float, at_once: bool) -> list[str]:
+        """Compute the targets if they are due; return the routers that may need a push."""
+        due = now >= self._computed_at + _RECOMPUTE_SLACK * self.rules.report_interval_s
+        if due or at_once:
+            self._update_quantum(now)
+            self._computed_at = now
+            self._targets = compute_targets(
+                self.totals,
+                self.concurrency.limit_by_name,
+                self._routers.keys(),
+                sum(self.slots.limit_by_name.values()),
+                self.quantum,
+            )
+            return list(self._targets.slots_by_router)
+        if not self.slots.has_free():
+            return []
+        return [name for name, router in self._routers.items() if router.waits]
+
+    def _update_quantum(self, now: float) -> None:
+        """Follow the mean cost of a call, or the longest running calls where these are longer.
+
+        With a quantum far below the cost of a member's calls, a small lag gives that member many
+        slots at once, which it keeps as long as the calls run; the gap then swings. So the quantum
+        rises at once and falls slowly.
+        """
+        elapsed = min(_QUANTUM_FADE_S, now - self._computed_at)
+        kept = math.exp(-elapsed / _QUANTUM_FADE_S) * self.quantum
+        self.quantum = max(self._mean_cost, self.totals.longest_rest(), kept)
+
+    def _target(self, name: str) -> int:
+        return self._targets.slots_by_router.get(name, 0)
+
+    def _push(self, names: list[str], sender: str, now: float) -> list[tuple[str, Grant]]:
+        """Return grants for the routers that should hear of a change before their next report."""
         grants = []
-        for name in sorted(self._routers, key=lambda n: (n != sender, n)):
-            router = self._routers[name]
-            if name != sender and not self._needs_push(name, router, targets, now):
+        for name in names:
+            router = self._routers.get(name)
+            if router is None or name == sender or not self._needs_push(name, router, now):
                 continue
-            grants.append((name, self._grant(name, router, targets, wanted, contended, now)))
+            self._change_portions(name, router)
+            grants.append((name, self._grant(name, router, self._target(name), now)))
         return grants
 
-    def _targets(self) -> tuple[dict[str, int], dict[str, dict[str, int]], bool]:
-        """Return target slots by router, wanted calls by member and router, and contention."""
-        window = sum(self.slots.limit_by_name.values())
-        claims = []
-        for member in self.totals.active():
-            limit = self.concurrency.limit_by_name.get(member, 0)
-            demand = min(self.totals.demand(member), limit)
-            claims.append(Claim(member, self.totals.vt(member), self.totals.share(member), demand))
-        wanted = {
-            member: split(count, self.totals.running(member), self.totals.waiting(member))
-            for member, count in allocate(claims, window, self.quantum).items()
-        }
-        targets = dict.fromkeys(self._routers, 0)
-        for by_router in wanted.values():
-            for name, count in by_router.items():
-                targets[name] = targets.get(name, 0) + count
-        contended = sum(claim.demand for claim in claims) > window
-        spare = window - sum(targets.values())
-        for index, name in enumerate(sorted(self._routers)):
-            part, rest = divmod(spare, len(self._routers))
-            targets[name] += part + (index < rest)
-        return targets, wanted, contended
-
-    def _needs_push(
-        self, name: str, router: _Router, targets: Mapping[str, int], now: float
-    ) -> bool:
-        """Whether a router should hear of a change before its next report."""
+    def _needs_push(self, name: str, router: _Router, now: float) -> bool:
         if now < router.pushed_at + _PUSH_GAP_S or router.acknowledged < router.number:
             return False
-        held = sum(self.slots.held_by(name).values())
-        if router.waits and targets[name] > held and self._has_free_slot():
+        held, target = self.slots.granted_total(name), self._target(name)
+        if router.waits and target > held and self.slots.has_free():
             return True
-        return targets[name] < held and targets[name] < router.target
-
-    def _has_free_slot(self) -> bool:
-        return any(self.slots.free(server) for server in self.slots.limit_by_name)
-
-    def _grant(
-        self,
-        name: str,
-        router: _Router,
-        targets: Mapping[str, int],
-        wanted: Mapping[str, Mapping[str, int]],
-        contended: bool,
-        now: float,
-    ) -> Grant:
-        if router.acknowledged >= router.number:
-            self._set_slots(name, targets[name])
-            self._set_concurrency(name, router, wanted)
-        router.number += 1
+        return target < held and target < router.target
+
+    def _grant(self, name: str, router: _Router, target: int, now: float) -> Grant:
         router.pushed_at = now
-        router.target = targets[name]
+        router.target = target
         return Grant(
             pool=self.pool,
             sender=self.name,
             epoch=self.epoch,
             number=router.number,
-            answers=router.seq,
-            incarnation=router.incarnation,
+            answers=router.seen.seq,
+            incarnation=router.seen.incarnation,
             lease_s=self.rules.portion_lease_s,
-            target=targets[name],
+            target=target,
             slots=tuple(sorted(self.slots.granted_to(name).items())),
             concurrency=tuple(sorted(self.concurrency.granted_to(name).items())),
             totals=tuple(self.totals.total(member) for member in router.members),
-            contended=contended,
+            contended=self._targets.contended,
             floor=self.totals.floor,
             quantum=self.quantum,
+            routers=len(self._routers),
         )
 
-    def _set_slots(self, name: str, target: int) -> None:
+    def _change_portions(self, name: str, router: _Router) -> None:
+        """Change a router's portions, unless it has not confirmed the last change yet."""
+        if router.acknowledged < router.number:
+            return
+        slots_changed = self._change_slots(name)
+        if self._change_concurrency(name, router) or slots_changed:
+            router.number = router.seen.number = router.number + 1
+
+    def _change_slots(self, name: str) -> bool:
         """Grant unassigned slots up to the target, from the server with most of them first."""
-        held = self.slots.held_by(name)
-        for server, count in held.items():
+        changed = False
+        for server, count in self.slots.granted_to(name).items():
             excess = self.slots.excess(server)
             if excess:
                 self.slots.grant(server, name, max(0, count - excess))
-        missing = target - sum(held.values())
-        while missing > 0:
-            server = max(self.slots.limit_by_name, key=self.slots.free, default="")
-            if not server or not self.slots.free(server):
-                break
-            self.slots.grant(server, name, self.slots.held(server, name) + 1)
+                changed = True
+        missing = self._target(name) - self.slots.granted_total(name)
+        if missing <= 0 or not self.slots.has_free():
+            return changed
+        heap = [(-free, server) for server, free in self.slots.free_by_name().items()]
+        heapq.heapify(heap)
+        while missing > 0 and heap:
+            free, server = heap[0]
+            self.slots.grant(server, name, self.slots.granted(server, name) + 1)
+            changed = True
             missing -= 1
+            if self.slots.free(server):
+                heapq.heapreplace(heap, (min(-1, free + 1), server))
+            else:
+                heapq.heappop(heap)
+        return changed
 
-    def _set_concurrency(
-        self, name: str, router: _Router, wanted: Mapping[str, Mapping[str, int]]
-    ) -> None:
+    def _change_concurrency(self, name: str, router: _Router) -> bool:
         """Grant what the router's calls can use; take idle parts back where others need them."""
+        changed = False
         for member in router.members:
-            useful = wanted.get(member, {}).get(name, 0)
-            held = self.concurrency.held(member, name)
-            if useful > held:
-                raised = held + min(useful - held, self.concurrency.free(member))
-                self.concurrency.grant(member, name, raised)
-            elif self.totals.demand(member) >= self.concurrency.limit_by_name.get(member, 0):
-                self.concurrency.grant(member, name, useful)
+            running, waiting = self.totals.running(member), self.totals.waiting(member)
+            limit = self.concurrency.limit_by_name.get(member, 0)
+            demand = self.totals.demand(member)
+            scarce = demand > limit or not self.concurrency.free(member)
+            useful = running.get(name, 0) + waiting.get(name, 0)
+            if scarce:
+                useful = split(min(demand, limit), running, waiting).get(name, 0)
+            granted = self.concurrency.granted(member, name)
+            wanted = min(useful, granted + self.concurrency.free(member))
+            if wanted > granted or (wanted < granted and scarce):
+                self.concurrency.grant(member, name, wanted)
+                changed = True
+        return changed
--- a/packages/parsleyrudder/parsleyrudder/sharing/ordering.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/ordering.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-__all__ = ["Claim", "allocate", "split"]
+from ..lists import Config
+
+__all__ = ["Claim", "allocate", "normalised_shares", "split"]
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +24,19 @@
     demand: int
 
 
+def normalised_shares(config: Config) -> dict[str, float]:
+    """Return each member's share, scaled to average 1.
+
+    >>> from parsleyrudder.lists import Config, Member
+    >>> rows = {n: Member(n, "p", s, "") for n, s in (("a", 1.0), ("b", 3.0))}
+    >>> normalised_shares(Config(1, rows))
+    {'a': 0.5, 'b': 1.5}
+    """
+    members = config.member_by_name.values()
+    total = sum(member.share for member in members)
+    return {member.name: member.share * len(config.member_by_name) / total for member in members}
+
+
 def allocate(claims: Iterable[Claim], slots: int, quantum: float) -> dict[str, int]:
     """Divide slots between members as a central queue would.
 
@@ -56,22 +71,31 @@
 
 
 def split(count: int, running: Mapping[str, int], waiting: Mapping[str, int]) -> dict[str, int]:
-    """Divide one member's slots between routers: to its running calls first, then to waiting ones.
+    """Divide one member's slots between routers.
 
-    Waiting calls get their slots in proportion, by largest remainder, the larger queue first.
+    One slot each goes to the routers where calls wait and none runs, the longest queue first:
+    otherwise a router whose queue never empties would keep all slots of the member, and calls at
+    the others would wait for ever. The others go to running calls, then to waiting calls in
+    proportion, by largest remainder, the larger queue first.
 
     :param count: slots of the member.
     :param running: running calls by router.
     :param waiting: waiting calls by router.
 
     >>> split(5, {"r1": 2}, {"r1": 1, "r2": 5})
-    {'r1': 2, 'r2': 3}
+    {'r2': 3, 'r1': 2}
     """
+    starved = [router for router, n in waiting.items() if n > 0 and not running.get(router)]
+    starved.sort(key=lambda router: (-waiting[router], router))
+    slots_by_router = dict.fromkeys(starved[:count], 1)
+    count -= len(slots_by_router)
     total_running = sum(running.values())
-    if count <= total_running:
-        return _proportional(count, running)
-    slots_by_router = {router: n for router, n in running.items() if n > 0}
-    for router, n in _proportional(count - total_running, waiting).items():
+    rest = {router: n - (router in slots_by_router) for router, n in waiting.items()}
+    parts = _proportional(min(count, total_running), running)
+    if count > total_running:
+        for router, n in _proportional(count - total_running, rest).items():
+            parts[router] = parts.get(router, 0) + n
+    for router, n in parts.items():
         slots_by_router[router] = slots_by_router.get(router, 0) + n
     return slots_by_router
 
--- a/packages/parsleyrudder/parsleyrudder/sharing/portions.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/portions.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..messages import Holding
@@ -15,69 +15,106 @@
 
 @dataclass(slots=True)
 class _Entry:
-    """Most that one router may hold: the reported portion or the unacknowledged grant."""
+    """What one router holds and uses by its last report, and what it was granted last."""
 
-    reported: int = 0
+    held: int = 0
+    used: int = 0
     granted: int = 0
 
     @property
     def most(self) -> int:
-        return max(self.reported, self.granted)
+        """Most that the router may hold or use."""
+        return max(self.held, self.used, self.granted)
 
 
 @dataclass(slots=True)
 class Ledger:
     """Coordinator's side: portions by resource and router.
 
-    :ivar limit_by_name: size of each resource.
+    Sums are kept up to date, so that a report costs what it names, however many resources and
+    routers there are.
+
+    :ivar limit_by_name: size of each resource; changed by :meth:`set_limit` only.
     """
 
     limit_by_name: dict[str, int] = field(default_factory=dict)
     _entries: dict[str, dict[str, _Entry]] = field(default_factory=dict)
+    _names_by_router: dict[str, set[str]] = field(default_factory=dict)
+    _most_by_name: dict[str, int] = field(default_factory=dict)
+    _granted_by_name: dict[str, int] = field(default_factory=dict)
+    _granted_by_router: dict[str, int] = field(default_factory=dict)
+    _free: set[str] = field(default_factory=set)
+
+    def set_limits(self, limit_by_name: Mapping[str, int]) -> None:
+        """Set the size of each resource; those left out have size 0."""
+        for name in self.limit_by_name.keys() - limit_by_name.keys():
+            del self.limit_by_name[name]
+            self._free.discard(name)
+        for name, limit in limit_by_name.items():
+            self.set_limit(name, limit)
+
+    def set_limit(self, name: str, limit: int) -> None:
+        """Set the size of a resource; portions above it are taken back by later grants."""
+        self.limit_by_name[name] = limit
+        self._note_free(name)
 
     def held(self, name: str, router: str) -> int:
         """Return the most that a router may hold of a resource."""
         entry = self._entries.get(name, {}).get(router)
         return entry.most if entry else 0
 
+    def granted(self, name: str, router: str) -> int:
+        """Return the last grant of a resource to a router."""
+        entry = self._entries.get(name, {}).get(router)
+        return entry.granted if entry else 0
+
     def granted_to(self, router: str) -> dict[str, int]:
         """Return the last grant to a router, by resource; zeros are left out."""
-        return {
-            name: entries[router].granted
-            for name, entries in self._entries.items()
-            if router in entries and entries[router].granted
-        }
+        names = self._names_by_router.get(router, ())
+        return {name: n for name in names if (n := self._entries[name][router].granted)}
+
+    def granted_total(self, router: str) -> int:
+        """Return the sum of the last grants to a router."""
+        return self._granted_by_router.get(router, 0)
+
+    def used(self, name: str) -> int:
+        """Return how much of a resource the routers report to use."""
+        return sum(entry.used for entry in self._entries.get(name, {}).values())
 
     def excess(self, name: str) -> int:
         """Return by how much the grants of a resource exceed it, as after it has shrunk."""
-        granted = sum(entry.granted for entry in self._entries.get(name, {}).values())
-        return max(0, granted - self.limit_by_name.get(name, 0))
+        return max(0, self._granted_by_name.get(name, 0) - self.limit_by_name.get(name, 0))
 
     def held_by(self, router: str) -> dict[str, int]:
         """Return the most that a router may hold, by resource; zeros are left out."""
-        return {
-            name: entries[router].most
-            for name, entries in self._entries.items()
-            if router in entries and entries[router].most
-        }
+        names = self._names_by_router.get(router, ())
+        return {name: self._entries[name][router].most for name in names}
 
     def assigned(self, name: str) -> int:
         """Return the sum of the portions of a resource."""
-        return sum(entry.most for entry in self._entries.get(name, {}).values())
+        return self._most_by_name.get(name, 0)
 
     def free(self, name: str) -> int:
         """Return what may still be granted of a resource."""
         return max(0, self.limit_by_name.get(name, 0) - self.assigned(name))
 
+    def has_free(self) -> bool:
+        """Whether anything may still be granted."""
+        return bool(self._free)
+
+    def free_by_name(self) -> dict[str, int]:
+        """Return what may still be granted, by resource; zeros are left out."""
+        return {name: self.free(name) for name in self._free}
+
     def grant(self, name: str, router: str, count: int) -> None:
         """Record that a router is being granted a portion of ``count``.
 
         :raises ValueError: if the sum would exceed the resource.
         """
-        entry = self._entry(name, router)
-        if count > entry.most and count - entry.most > self.free(name):
+        most = self.held(name, router)
+        if count > most and count - most > self.free(name):
             raise ValueError(f"{name}: {count} for {router} exceeds the resource")
-        entry.granted = count
+        self._set(name, router, granted=count)
 
     def reported(self, router: str, holdings: Iterable[Holding], acknowledged: bool) -> None:
         """Take over what a router reports to hold.
@@ -85,38 +122,83 @@
         :param acknowledged: whether the report was sent after the last grant had been applied;
             otherwise the grant may still arrive and counts as well.
         """
-        held_by_name = {holding.name: max(holding.held, holding.used) for holding in holdings}
-        for name in held_by_name.keys() | self._names_of(router):
-            entry = self._entry(name, router)
-            entry.reported = held_by_name.get(name, 0)
-            if acknowledged:
-                entry.granted = entry.reported
-            if entry.most == 0:
-                self._remove(name, router)
+        rest = set(self._names_by_router.get(router, ()))
+        for item in holdings:
+            rest.discard(item.name)
+            granted = item.held if acknowledged else None
+            self._set(item.name, router, item.held, item.used, granted)
+        for name in rest:
+            self._set(name, router, 0, 0, 0 if acknowledged else None)
+
+    def adopt(self, router: str) -> None:
+        """Grant a router what it reports to hold, as far as nobody else may hold it."""
+        for name in list(self._names_by_router.get(router, ())):
+            entry = self._entries[name][router]
+            others = self.assigned(name) - entry.most
+            left = max(0, self.limit_by_name.get(name, 0) - others)
+            self._set(name, router, granted=min(entry.held, left))
 
     def remove_router(self, router: str) -> dict[str, int]:
         """Forget a router and return what it may have held, by resource."""
         held = self.held_by(router)
-        for name in self._names_of(router):
-            self._remove(name, router)
+        for name in held:
+            self._set(name, router, 0, 0, 0)
         return held
 
-    def _names_of(self, router: str) -> set[str]:
-        return {name for name, entries in self._entries.items() if router in entries}
-
-    def _entry(self, name: str, router: str) -> _Entry:
-        return self._entries.setdefault(name, {}).setdefault(router, _Entry())
+    def _set(
+        self,
+        name: str,
+        router: str,
+        held: int | None = None,
+        used: int | None = None,
+        granted: int | None = None,
+    ) -> None:
+        """Change an entry and the sums that include it."""
+        entries = self._entries.setdefault(name, {})
+        entry = entries.setdefault(router, _Entry())
+        most, before = entry.most, entry.granted
+        entry.held = entry.held if held is None else held
+        entry.used = entry.used if used is None else used
+        entry.granted = entry.granted if granted is None else granted
+        _add(self._most_by_name, name, entry.most - most)
+        _add(self._granted_by_name, name, entry.granted - before)
+        _add(self._granted_by_router, router, entry.granted - before)
+        if entry.most:
+            self._names_by_router.setdefault(router, set()).add(name)
+        else:
+            self._remove(name, router)
+        if entry.most != most:
+            self._note_free(name)
 
     def _remove(self, name: str, router: str) -> None:
-        entries = self._entries[name]
-        del entries[router]
-        if not entries:
+        del self._entries[name][router]
+        if not self._entries[name]:
             del self._entries[name]
+        names = self._names_by_router.get(router, set())
+        names.discard(name)
+        if not names:
+            self._names_by_router.pop(router, None)
+
+    def _note_free(self, name: str) -> None:
+        if self.free(name):
+            self._free.add(name)
+        else:
+            self._free.discard(name)
+
+
+def _add(sums: dict[str, int], key: str, amount: int) -> None:
+    total = sums.get(key, 0) + amount
+    if total:
+        sums[key] = total
+    else:
+        sums.pop(key, None)
 
 
 @dataclass(slots=True)
 class _LostItem:
+    router: str
     count: int
+    since: float
     until: float
 
 
@@ -126,27 +208,47 @@
 
     _items_by_name: dict[str, list[_LostItem]] = field(default_factory=dict)
 
-    def add(self, portions: Mapping[str, int], until: float) -> None:
-        """Count portions as in use up to a time."""
+    def add(self, router: str, portions: Mapping[str, int], since: float, until: float) -> None:
+        """Count a lost router's portions as in use up to a time."""
         for name, count in portions.items():
-            self._items_by_name.setdefault(name, []).append(_LostItem(count, until))
+            self._items_by_name.setdefault(name, []).append(_LostItem(router, count, since, until))
 
     def total(self, name: str) -> int:
         """Return how much of a resource may still be in use by lost routers."""
         return sum(item.count for item in self._items_by_name.get(name, ()))
 
-    def limit(self, name: str, most: int) -> None:
-        """Lower the total of a resource to what is known to be in use."""
+    def limit(self, name: str, most: int, lost_before: float) -> bool:
+        """Lower the total of a resource to what is known to be in use.
+
+        :param lost_before: only portions lost before this time are lowered, because a load report
+            that lags may not show the calls of the others.
+        :returns: whether this has changed the total.
+        """
+        before = self.total(name)
         for item in self._items_by_name.get(name, ()):
-            item.count = min(item.count, most)
-            most -= item.count
+            if item.since <= lost_before:
+                item.count = min(item.count, most)
+            most = max(0, most - item.count)
+        return self.total(name) != before
 
-    def expire(self, now: float) -> None:
-        """Forget portions whose time is over."""
+    def remove_router(self, router: str) -> set[str]:
+        """Forget the portions of a router that has come back; return the resources changed."""
+        return self._drop(lambda item: item.router == router)
+
+    def expire(self, now: float) -> set[str]:
+        """Forget portions whose time is over; return the resources changed."""
+        return self._drop(lambda item: not item.count or now >= item.until)
+
+    def _drop(self, ended: Callable[[_LostItem], bool]) -> set[str]:
+        changed = set()
         for name, items in list(self._items_by_name.items()):
-            items[:] = [item for item in items if item.count and now < item.until]
-            if not items:
+            left = [item for item in items if not ended(item)]
+            if len(left) != len(items):
+                changed.add(name)
+                self._items_by_name[name] = left
+            if not left:
                 del self._items_by_name[name]
+        return changed
 
 
 @dataclass(slots=True)
@@ -172,13 +274,16 @@
     portion_by_name: dict[str, Portion] = field(default_factory=dict)
     expires_at: float = -math.inf
 
-    def apply(self, granted: Mapping[str, int], expires_at: float) -> None:
+    def apply(self, granted: Mapping[str, int]) -> None:
         """Replace the portions by newly granted ones."""
         for name in granted.keys() | self.portion_by_name.keys():
             self._portion(name).held = granted.get(name, 0)
-        self.expires_at = max(self.expires_at, expires_at)
         self._drop_empty()
 
+    def renew(self, expires_at: float) -> None:
+        """Let the lease end at a time, unless it ends later already."""
+        self.expires_at = max(self.expires_at, expires_at)
+
     def idle(self, name: str, now: float) -> int:
         """Return the slots of a resource that may be taken now; 0 once the lease has ended."""
         portion = self.portion_by_name.get(name)
@@ -198,8 +303,10 @@
 
     def give_back(self, name: str) -> None:
         """End the use of one slot."""
-        self._portion(name).used -= 1
-        self._drop_empty()
+        portion = self._portion(name)
+        portion.used -= 1
+        if not portion.used and not portion.held:
+            del self.portion_by_name[name]
 
     def release(self, count: int) -> int:
         """Give up to ``count`` idle slots back, from the resource with most idle slots first.
@@ -218,6 +325,14 @@
         self._drop_empty()
         return released
 
+    def release_unused(self, name: str) -> None:
+        """Give back what is not in use of one resource."""
+        portion = self.portion_by_name.get(name)
+        if portion is not None:
+            portion.held = min(portion.held, portion.used)
+            if not portion.held and not portion.used:
+                del self.portion_by_name[name]
+
     def clear(self) -> None:
         """Give all idle portions back, as after the end of the lease."""
         for portion in self.portion_by_name.values():
--- a/packages/parsleyrudder/parsleyrudder/sharing/queueing.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/queueing.py
@@ -8,7 +8,7 @@
 __all__ = ["MemberQueue", "WaitingCall"]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class WaitingCall:
     """A call that waits for a slot, or runs on one.
 
@@ -18,6 +18,8 @@
     :ivar queue_until: monotonic time at which it is refused if it still waits.
     :ivar deadline: monotonic time after which its answer is of no use.
     :ivar charged: cost accrued so far.
+    :ivar submitted_at: monotonic time at which it began to wait.
+    :ivar started_at: monotonic time of its last dispatch.
     """
 
     id: str
@@ -31,6 +33,8 @@
     charged: float = 0.0
     server: str = ""
     excluded: frozenset[str] = frozenset()
+    submitted_at: float = 0.0
+    started_at: float = 0.0
 
     @property
     def rest(self) -> float:
@@ -63,6 +67,10 @@
         else:
             calls.append(call)
 
+    def ahead_of(self, call: WaitingCall) -> int:
+        """Return the number of calls that would go before a new call."""
+        return len(self.interactive) if call.interactive else len(self)
+
     def head(self, batch_allowed: bool) -> WaitingCall | None:
         """Return the call to dispatch next, or None."""
         if self.interactive:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -121,7 +121,7 @@
     def retry(self, call: WaitingCall, failed_server: str) -> None:
         """Let a call wait for another server after a failed attempt."""
         self._attempt_ended(failed_server, failed=True)
-        self.scheduler.requeue(call, failed_server)
+        self.scheduler.requeue(call, failed_server, self._context.now())
         self._pump()
 
     def finish(self, call: WaitingCall, failed: bool, learn: bool) -> None:
@@ -132,7 +132,7 @@
         """
         self._attempt_ended(call.server, failed)
         self._user_by_call.pop(call.id, None)
-        self.scheduler.finish(call, learn)
+        self.scheduler.finish(call, self._context.now(), learn)
         self._pump()
 
     def cancel(self, call: WaitingCall) -> None:
@@ -166,7 +166,7 @@
         """Take a server's load report."""
         self.servers.on_load(server, running)
         if self.coordinator is not None:
-            self.coordinator.server_load(server, running)
+            self.coordinator.server_load(server, running, self._context.now())
 
     def is_cut_off(self) -> bool:
         """Whether portions were held and their lease has ended."""
@@ -239,6 +239,7 @@
                 max_call_s=settings.max_call_s,
                 default_cost=settings.default_cost,
                 largest_cost=settings.largest_cost,
+                report_interval_s=settings.report_interval_s,
             ),
             started_at=now,
             expected=set(self.lease.previous_view),
@@ -289,6 +290,7 @@
         now = self._context.now()
         for user in list(self._user_by_call.values()):
             user.accrue(now)
+        self.scheduler.follow(self.lease.epoch)
         report = self.scheduler.report(now, self._context.table_health.up)
         if self.lease.is_holder():
             self.on_report(report)
