--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -5,11 +5,13 @@
 from .coordination import Coordinator, PoolRules
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
-from .ordering import Claim, allocate, split
+from .ordering import Claim, allocate, normalised_shares, split
 from .portions import Ledger, LostPortions, Portion, Portions
 from .queueing import MemberQueue, WaitingCall
-from .scheduling import Choose, PoolScheduler, SchedulerRules, normalised_shares
+from .scheduling import Choose, PoolScheduler, SchedulerRules
+from .targets import Targets, compute_targets
 from .totals import ServiceTotals
+from .waits import DrainRate, DurationEstimator
 
 __all__ = [
     "POLICY_BY_NAME",
@@ -19,6 +21,8 @@
     "CoordinatorLease",
     "CostEstimator",
     "CostModel",
+    "DrainRate",
+    "DurationEstimator",
     "LeaseRecord",
     "LeaseRules",
     "Ledger",
@@ -32,9 +36,11 @@
     "SchedulerRules",
     "ServiceTotals",
     "SharingPolicy",
+    "Targets",
     "TokenBucket",
     "WaitingCall",
     "allocate",
+    "compute_targets",
     "divide_evenly",
     "is_majority",
     "normalised_shares",
--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -143,15 +143,16 @@
             return False
         return self._unconfirmed_view is None or router in self._unconfirmed_view
 
-    def on_granted(self, router: str, number: int, now: float) -> None:
-        """Remember when a grant was sent; a promise that acknowledges it counts from then."""
+    def on_granted(self, router: str, answers: int, now: float) -> None:
+        """Remember when a report was first answered; a promise that says so counts from then."""
         sent = self._granted_at.setdefault(router, deque(maxlen=_GRANTS_KEPT))
-        sent.append((number, now))
+        if not sent or sent[-1][0] < answers:
+            sent.append((answers, now))
 
-    def on_report(self, router: str, epoch: int, grant: int, table_up: bool) -> None:
+    def on_report(self, router: str, epoch: int, heard: int, table_up: bool) -> None:
         """Take a report as support: it follows this epoch, and may be a promise.
 
-        :param grant: number of the last grant of that epoch that the sender has applied.
+        :param heard: newest of the sender's reports that a grant of that epoch has answered.
         :param table_up: False for a promise to follow nobody else for a while.
         """
         if not self.is_holder() or epoch != self.epoch:
@@ -159,8 +160,8 @@
         self._followers.add(router)
         if table_up:
             return
-        for number, sent_at in self._granted_at.get(router, ()):
-            if number == grant:
+        for answers, sent_at in self._granted_at.get(router, ()):
+            if answers == heard:
                 until = sent_at + self.rules.promise_s
                 self._counted_until[router] = max(self._counted_until.get(router, until), until)
 
--- a/packages/parsleyrudder/parsleyrudder/sharing/baselines.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/baselines.py
@@ -11,9 +11,11 @@
 from ..lists import Config
 from ..outcomes import Failure
 from .coordination import Coordinator
-from .ordering import split
+from .local_order import LocalOrder, MemberCounters
+from .ordering import normalised_shares, split
 from .queueing import WaitingCall
-from .scheduling import PoolScheduler, normalised_shares
+from .scheduling import PoolScheduler
+from .targets import Targets
 
 __all__ = ["POLICY_BY_NAME", "SharingPolicy", "divide_evenly"]
 
@@ -46,89 +48,109 @@
 class _DemandCoordinator(Coordinator):
     """Gives slots to routers by the number of their calls, whosever they are."""
 
-    def _targets(self) -> tuple[dict[str, int], dict[str, dict[str, int]], bool]:
-        window = sum(self.slots.limit_by_name.values())
+    def _compute_targets(self, window: int) -> Targets:
         active = self.totals.active()
         running = _sum_by_router(self.totals.running(member) for member in active)
         waiting = _sum_by_router(self.totals.waiting(member) for member in active)
-        targets = dict.fromkeys(self._routers, 0) | split(window, running, waiting)
-        spare = window - sum(targets.values())
+        slots_by_router = dict.fromkeys(self._routers, 0) | split(window, running, waiting)
+        spare = window - sum(slots_by_router.values())
         for name, count in divide_evenly(spare, sorted(self._routers)).items():
-            targets[name] += count
+            slots_by_router[name] += count
         contended = sum(running.values()) + sum(waiting.values()) > window
-        return targets, _wanted(self), contended
+        return Targets(slots_by_router, contended)
 
 
 class _EvenCoordinator(Coordinator):
     """Gives every router the same number of slots, used or not."""
 
-    def _targets(self) -> tuple[dict[str, int], dict[str, dict[str, int]], bool]:
-        window = sum(self.slots.limit_by_name.values())
+    def _compute_targets(self, window: int) -> Targets:
         # Routers give idle slots back while a pool is contended, so it is never said to be.
-        return divide_evenly(window, sorted(self._routers)), _wanted(self), False
+        return Targets(divide_evenly(window, sorted(self._routers)), False)
 
 
-class _FifoScheduler(PoolScheduler):
+class _ArrivalOrder(LocalOrder):
     """Orders members by the arrival of the call at the head of their queues."""
 
-    def __post_init__(self) -> None:
-        super().__post_init__()
+    def __init__(self, quantum: float) -> None:
+        super().__init__(quantum)
         self._arrivals = 0
         self._arrival_by_call: dict[str, int] = {}
 
-    def submit(self, call: WaitingCall, now: float) -> Failure | None:
-        refused = super().submit(call, now)
-        if refused is None:
-            self._arrivals += 1
-            self._arrival_by_call[call.id] = self._arrivals
-        return refused
-
-    def finish(self, call: WaitingCall, learn: bool = True) -> None:
-        self._arrival_by_call.pop(call.id, None)
-        super().finish(call, learn)
+    def arrived(self, call: WaitingCall) -> None:
+        """Number a call that arrives."""
+        self._arrivals += 1
+        self._arrival_by_call[call.id] = self._arrivals
 
-    def cancel(self, call: WaitingCall) -> None:
+    def ended(self, call: WaitingCall) -> None:
+        """Forget a call."""
         self._arrival_by_call.pop(call.id, None)
-        super().cancel(call)
 
-    def _virtual_time(self, name, counters):  # type: ignore[no-untyped-def]
+    def virtual_time(self, counters: MemberCounters) -> float:
         head = counters.queue.head(True)
-        return float(self._arrival_by_call[head.id]) if head else 0.0
+        return float(self._arrival_by_call.get(head.id, 0)) if head else 0.0
 
 
-class _LocalFairScheduler(PoolScheduler):
-    """Orders members by this router's own service alone."""
+class _FifoScheduler(PoolScheduler):
+    """First come, first served at each router."""
 
     def __post_init__(self) -> None:
         super().__post_init__()
-        self._lift_by_member: dict[str, float] = {}
+        self.order: _ArrivalOrder = _ArrivalOrder(self.estimator.default)
 
     def submit(self, call: WaitingCall, now: float) -> Failure | None:
-        counters = self._members.get(call.member)
-        if counters is None or not (counters.queue or counters.running):
-            self._lift(call.member)
-        return super().submit(call, now)
+        self.order.arrived(call)
+        refused = super().submit(call, now)
+        if refused is not None:
+            self.order.ended(call)
+        return refused
 
-    def _virtual_time(self, name, counters):  # type: ignore[no-untyped-def]
-        share = self._share_by_member.get(name, 1.0)
-        return self._own_time(name) + len(counters.running) * self.quantum / share
+    def finish(self, call: WaitingCall, now: float, learn: bool = True) -> None:
+        self.order.ended(call)
+        super().finish(call, now, learn)
 
-    def _own_time(self, name: str) -> float:
-        counters = self._members.get(name)
-        served = counters.served if counters else 0.0
-        return self._lift_by_member.get(name, 0.0) + served / self._share_by_member.get(name, 1.0)
+    def cancel(self, call: WaitingCall) -> None:
+        self.order.ended(call)
+        super().cancel(call)
 
-    def _lift(self, name: str) -> None:
+
+class _OwnServiceOrder(LocalOrder):
+    """Orders members by this router's own service alone."""
+
+    def __init__(self, quantum: float) -> None:
+        super().__init__(quantum)
+        self._lift_by_member: dict[str, float] = {}
+
+    def virtual_time(self, counters: MemberCounters) -> float:
+        share = self.share_by_member.get(counters.member, 1.0)
+        return self._own_time(counters) + len(counters.running) * self.quantum / share
+
+    def lift(self, counters: MemberCounters, active: Iterable[MemberCounters]) -> None:
         """Let a member that has been idle start at the lowest time of the active members."""
-        active = [
-            self._own_time(other)
-            for other, counters in self._members.items()
-            if counters.queue or counters.running
-        ]
-        behind = min(active, default=0.0) - self._own_time(name)
+        lowest = min((self._own_time(other) for other in active), default=0.0)
+        behind = lowest - self._own_time(counters)
         if behind > 0:
+            name = counters.member
             self._lift_by_member[name] = self._lift_by_member.get(name, 0.0) + behind
 
+    def _own_time(self, counters: MemberCounters) -> float:
+        share = self.share_by_member.get(counters.member, 1.0)
+        return self._lift_by_member.get(counters.member, 0.0) + counters.served / share
+
+
+class _LocalFairScheduler(PoolScheduler):
+    """Fair queueing on each router alone."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.order: _OwnServiceOrder = _OwnServiceOrder(self.estimator.default)
+
+    def submit(self, call: WaitingCall, now: float) -> Failure | None:
+        active = self._backlog.waiting | self._backlog.running
+        if call.member not in active:
+            own = self._backlog.counters.get(call.member) or MemberCounters(call.member)
+            self.order.lift(own, active.values())
+        return super().submit(call, now)
+
 
 class _StaticScheduler(_LocalFairScheduler):
     """Lets each member use only its share of the router's slots, and at least one."""
@@ -142,16 +164,11 @@
         shares = normalised_shares(config)
         self._part_by_member = {name: share / len(shares) for name, share in shares.items()}
 
-    def _next_call(
-        self, now: float, idle: Mapping[str, int], skipped: set[str]
-    ) -> WaitingCall | None:
-        held = self.slots.total_held()
-        full = {
-            name
-            for name, counters in self._members.items()
-            if len(counters.running) >= max(1, round(self._part_by_member.get(name, 0.0) * held))
-        }
-        return super()._next_call(now, idle, skipped | full)
+    def _may_start(self, counters: MemberCounters, now: float) -> bool:
+        part = self._part_by_member.get(counters.member, 0.0)
+        if len(counters.running) >= max(1, round(part * self.slots.total_held())):
+            return False
+        return super()._may_start(counters, now)
 
 
 @dataclass(slots=True, frozen=True)
@@ -176,14 +193,3 @@
         for router, count in count_by_router.items():
             total[router] = total.get(router, 0) + count
     return total
-
-
-def _wanted(coordinator: Coordinator) -> dict[str, dict[str, int]]:
-    """Return the calls that each member may run at each router, bounded by its concurrency."""
-    totals = coordinator.totals
-    wanted = {}
-    for member in totals.active():
-        limit = coordinator.concurrency.limit_by_name.get(member, 0)
-        count = min(totals.demand(member), limit)
-        wanted[member] = split(count, totals.running(member), totals.waiting(member))
-    return wanted
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_baselines.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_baselines.py
@@ -22,8 +22,10 @@
     rules = SchedulerRules()
     scheduler = POLICY_BY_NAME[policy].scheduler("r1", 1, "pool", rules, CostEstimator(10.0))
     scheduler.set_config(CONFIG)
-    scheduler.slots.apply({"s": slots}, 100.0)
-    scheduler.concurrency.apply({"a": 40, "b": 40}, 100.0)
+    scheduler.slots.apply({"s": slots})
+    scheduler.slots.renew(100.0)
+    scheduler.concurrency.apply({"a": 40, "b": 40})
+    scheduler.concurrency.renew(100.0)
     return scheduler
 
 
@@ -68,7 +70,7 @@
     for seq in (1, 2):
         for router, waiting in waiting_by_router.items():
             member = MemberReport("a", 0.0, waiting, 0, waiting, 0.0)
-            report = Report("pool", router, 1, seq, 1, 0, True, 0, 0.0, (member,))
+            report = Report("pool", router, 1, seq, 1, 0, 0, True, 0, 0.0, (member,))
             for name, grant in coordinator.on_report(report, 0.1 * seq):
                 target_by_router[name] = grant.target
     assert targets.items() <= target_by_router.items()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -124,7 +124,7 @@
     def retry(self, call: WaitingCall, failed_server: str) -> None:
         """Let a call wait for another server after a failed attempt."""
         self._attempt_ended(failed_server, failed=True)
-        self.scheduler.requeue(call, failed_server)
+        self.scheduler.requeue(call, failed_server, self._context.now())
         self._pump()
 
     def finish(self, call: WaitingCall, failed: bool | None, learn: bool) -> None:
@@ -135,7 +135,7 @@
         """
         self._attempt_ended(call.server, failed)
         self._user_by_call.pop(call.id, None)
-        self.scheduler.finish(call, learn)
+        self.scheduler.finish(call, self._context.now(), learn)
         self._pump()
 
     def cancel(self, call: WaitingCall) -> None:
@@ -151,7 +151,7 @@
     def on_report(self, report: Report) -> None:
         """Take a router's report, if this router coordinates the pool."""
         now = self._context.now()
-        self.lease.on_report(report.sender, report.epoch, report.grant, report.table_up)
+        self.lease.on_report(report.sender, report.epoch, report.heard, report.table_up)
         self._check_coordinator()
         if self.coordinator is None or not self.lease.may_grant(now):
             return
@@ -171,7 +171,7 @@
         """Take a server's load report."""
         self.servers.on_load(server, running)
         if self.coordinator is not None:
-            self.coordinator.server_load(server, running)
+            self.coordinator.server_load(server, running, self._context.now())
 
     def is_cut_off(self) -> bool:
         """Whether portions were held and their lease has ended."""
@@ -247,6 +247,7 @@
                 max_call_s=settings.max_call_s,
                 default_cost=settings.default_cost,
                 largest_cost=settings.largest_cost,
+                report_interval_s=settings.report_interval_s,
             ),
             started_at=now,
             expected=set(self.lease.previous_view),
@@ -268,7 +269,7 @@
 
     def _deliver(self, grants: Iterable[tuple[str, Grant]]) -> None:
         for receiver, grant in grants:
-            self.lease.on_granted(receiver, grant.number, self._context.now())
+            self.lease.on_granted(receiver, grant.answers, self._context.now())
             if receiver == self._context.name:
                 self.on_grant(grant)
             else:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/calls.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/calls.py
@@ -101,7 +101,7 @@
         self._drop_execution()
         self.accrue(self.router.now())
         self.router.routing.ended(self.waiting.server, False, self.router.now())
-        self.router.scheduler.finish(self.waiting)
+        self.router.scheduler.finish(self.waiting, self.router.now())
         self.end("answered", attempt)
         self.router.dispatch()
 
@@ -111,9 +111,9 @@
         self.router.routing.ended(self._server, end is not pr.AttemptEnd.TIMED_OUT, now)
         decision = self.call.on_failed(end, self.router.budget, now)
         if isinstance(decision, pr.Retry):
-            self.router.scheduler.requeue(self.waiting, self._server)
+            self.router.scheduler.requeue(self.waiting, self._server, now)
         else:
-            self.router.scheduler.finish(self.waiting, learn=False)
+            self.router.scheduler.finish(self.waiting, now, learn=False)
             self.end(decision.outcome)
         self.router.dispatch()
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/router.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/router.py
@@ -247,7 +247,7 @@
 
     def _on_report(self, report: pr.Report) -> None:
         now = self.now()
-        self.lease.on_report(report.sender, report.epoch, report.grant, report.table_up)
+        self.lease.on_report(report.sender, report.epoch, report.heard, report.table_up)
         self._check_coordinator()
         if self.coordinator is None or not self.lease.may_grant(now):
             return
@@ -256,7 +256,7 @@
 
     def _deliver(self, grants: Iterable[tuple[str, pr.Grant]]) -> None:
         for receiver, grant in grants:
-            self.lease.on_granted(receiver, grant.number, self.now())
+            self.lease.on_granted(receiver, grant.answers, self.now())
             self.world.oracle.grant_sent(POOL, self, grant.epoch)
             if receiver == self.name:
                 self._on_grant(grant)
@@ -320,4 +320,4 @@
         for id, server in self.servers.items():
             self.routing.on_load(id, len(server.executions))
             if self.coordinator is not None:
-                self.coordinator.server_load(id, len(server.executions))
+                self.coordinator.server_load(id, len(server.executions), self.now())
