Prove delivery with a fleet of processes under faults

A router that stopped lost calls whose connection was still waiting to be accepted when it exited; it now takes the waiting connections, stops listening, and answers them before it exits. The caller stand-in dropped the error event of a stream that was cut; it reads it now.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -18,6 +18,8 @@
 
 __all__ = ["CallerExchange", "CallerFront", "CallerHandler"]
 
+_BACKLOG = 128
+
 
 class CallerHandler(Protocol):
     """What answers requests."""
@@ -195,6 +197,14 @@
         """Number of requests that are being answered."""
         return len(self._exchange_by_sock)
 
+    def stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, and no more after that."""
+        server = self._web.server
+        for _ in range(_BACKLOG):
+            for _ in server._accept():
+                pass
+        server._close(server._sock)
+
     def write(self, sock: socket.socket, data: bytes) -> None:
         """Put bytes into a connection's buffer, without an event of its own."""
         if sock in self._exchange_by_sock:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -159,6 +159,8 @@
                 log_event(_LOGGER, "call_cut", logging.WARNING, call=call.id, member=call.member)
             pool.stop()
         self.fleet_task.unregister()
+        # A connection that is accepted after this would end without an answer.
+        self._front.stop_listening()
         log_event(_LOGGER, "router_stopped", reason=reason)
         self.context.timers.after(_GOODBYE_S, self._exit)
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
@@ -138,7 +138,7 @@
             writer.write(data)
             await self._receive(parser, reader, result, begun)
         except (OSError, h11.ProtocolError) as error:
-            result.code = f"connection: {error}"
+            result.code = result.code or f"connection: {error}"
         finally:
             writer.close()
         result.seconds = time.monotonic() - begun
@@ -148,6 +148,21 @@
         self, parser: h11.Connection, reader: asyncio.StreamReader, result: CallResult, begun: float
     ) -> None:
         body = bytearray()
+        try:
+            await self._read_body(parser, reader, result, body, begun)
+        finally:
+            # A stream that is cut ends with an error event.
+            result.body = bytes(body)
+            _read_outcome(result)
+
+    async def _read_body(
+        self,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        result: CallResult,
+        body: bytearray,
+        begun: float,
+    ) -> None:
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -165,8 +180,6 @@
                 break
             else:
                 break
-        result.body = bytes(body)
-        _read_outcome(result)
 
 
 def _read_outcome(result: CallResult) -> None:
@@ -190,7 +203,7 @@
         elif event.startswith(b"event: error\ndata: "):
             error = json.loads(event.partition(b"data: ")[2])["error"]
             result.code, result.outcome = error["code"], error["outcome"]
-        elif event.startswith(b"data: "):
+        elif event.startswith(b"data: ") and event.endswith(b"}"):
             for choice in json.loads(event[6:])["choices"]:
                 content = choice["delta"].get("content")
                 if content:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -58,6 +58,10 @@
         """Return the router's ``/status`` document."""
         return get_json(self.address, "/status")
 
+    def metrics(self) -> str:
+        """Return the router's ``/metrics`` text."""
+        return _read(self.address, "GET", "/metrics", None).decode()
+
     def send_signal(self, number: int) -> None:
         """Send a signal to the daemon."""
         assert self.process is not None
@@ -264,19 +268,19 @@
 
 def get_json(address: str, path: str) -> Any:
     """Return the JSON document at a path."""
-    return _exchange(address, "GET", path, None)
+    return json.loads(_read(address, "GET", path, None))
 
 
 def post_json(address: str, path: str, document: Any) -> Any:
     """Post a JSON document and return the answer."""
-    return _exchange(address, "POST", path, json.dumps(document))
+    return json.loads(_read(address, "POST", path, json.dumps(document)))
 
 
-def _exchange(address: str, method: str, path: str, body: str | None) -> Any:
+def _read(address: str, method: str, path: str, body: str | None) -> bytes:
     connection = http.client.HTTPConnection(address, timeout=5)
     try:
         connection.request(method, path, body)
-        return json.loads(connection.getresponse().read())
+        return connection.getresponse().read()
     finally:
         connection.close()
 
--- /dev/null
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_delivery.py
@@ -0,0 +1,167 @@
+"""Guards single calls through a router process: answers of every form, and servers that fail."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+from parsleyrudder_standins.caller import Caller
+from parsleyrudder_standins.deployment import load_deployment, member_key
+from parsleyrudder_standins.launcher import Fleet, get_json, post_json
+
+MEMBER = "gas-aurora"
+ENGINE_WORDS = [f"w{index}" for index in range(12)]
+LARGE = 2_000_000
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    pools = {"first_byte_s": 0.5, "server_silence_s": 0.5}
+    router = {"write_stall_s": 0.5, "default_deadline_s": 10.0}
+    with Fleet(load_deployment("frio-nordeste"), 1, pools, router) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def faults(fleet):
+    """Set a fault of all servers of a pool; they are up again after the test."""
+
+    def set_mode(pool, mode, **fault):
+        for id, address in fleet.address_by_server.items():
+            if id.startswith(f"{pool}-"):
+                post_json(address, "/standin/fault", {"mode": mode, **fault})
+
+    yield set_mode
+    for pool in ("pedidos", "assistente"):
+        set_mode(pool, "up")
+
+
+def address_of(fleet):
+    return next(iter(fleet.router_by_name.values())).address
+
+
+def call(fleet, name, *args, **options):
+    """Send one call of a member."""
+    address = address_of(fleet)
+    caller = Caller(MEMBER, [address])
+    return asyncio.run(getattr(caller, name)(*args, address=address, **options))
+
+
+def wait_until(condition):
+    """Wait for a state that must come; the limit is far beyond what it takes."""
+    until = time.monotonic() + 30.0
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
+def running(fleet):
+    status = next(iter(fleet.router_by_name.values())).status()
+    return sum(pool["running"] for pool in status["pools"].values())
+
+
+@pytest.mark.parametrize(
+    ("mode", "method", "path", "status", "outcome", "code", "size"),
+    [
+        ("up", "HEAD", "/a", 200, "answered", "", 0),
+        ("up", "GET", "/status/204", 204, "answered", "", 0),
+        ("up", "GET", "/status/304", 304, "answered", "", 0),
+        ("up", "GET", "/status/404", 404, "answered", "", 0),
+        ("up", "POST", f"/large/{LARGE}", 200, "answered", "", LARGE),
+        ("fail", "POST", "/b", 500, "answered", "", None),
+        ("fail", "GET", "/b", 502, "unknown", "server_failed", None),
+        ("refuse", "POST", "/c", 503, "not_run", "no_server", None),
+        ("cut", "POST", "/d", 502, "unknown", "server_failed", None),
+        ("hang", "POST", "/e", 502, "unknown", "server_failed", None),
+        ("up", "TRACE", "/f", 405, "not_run", "bad_method", None),
+    ],
+)
+def test_answer_tells_what_became_of_the_call(
+    fleet, faults, mode, method, path, status, outcome, code, size
+):
+    faults("pedidos", mode)
+    id = f"{mode}-{method}-{path}"
+    result = call(fleet, "service", id, method, "pedidos", path)
+    assert result.whole
+    assert (result.status, result.outcome, result.code) == (status, outcome, code)
+    assert result.headers["x-rudder-outcome"] == outcome
+    assert size is None or len(result.body) == size
+    executed = 0
+    for server, address in fleet.address_by_server.items():
+        if server.startswith("pedidos-"):
+            executed += get_json(address, "/standin/counts")["executions"].get(id, 0)
+    assert executed == 0 if outcome == "not_run" else executed >= 1
+    assert method == "GET" or executed <= 1
+
+
+def test_cut_of_a_large_answer_does_not_look_complete(fleet, faults):
+    faults("pedidos", "part")
+    result = call(fleet, "service", "part", "GET", "pedidos", f"/large/{LARGE}")
+    assert (result.status, result.whole) == (200, False)
+    assert 0 < len(result.body) < LARGE
+    assert b"event: error" not in result.body
+
+
+@pytest.mark.parametrize("mode", ["cut", "end", "stop"])
+@pytest.mark.parametrize("ignore_resume", [False, True])
+def test_stream_goes_on_at_another_engine_without_gap_or_repeat(fleet, faults, mode, ignore_resume):
+    """The engine that a prompt goes to breaks its stream after 7 tokens."""
+    id, first_id = f"resumed-{mode}-{ignore_resume}", f"first-{mode}-{ignore_resume}"
+    for number in range(25):
+        call(fleet, "chat", f"save-{number}", "assistente", "save retries", 1, exact=True)
+    faults("assistente", "up", ignore_resume=ignore_resume)
+    first = call(fleet, "chat", first_id, "assistente", mode, 12, exact=True)
+    assert first.text.split() == ENGINE_WORDS
+    ran = [server for server, count in executions(fleet, first_id).items() if count]
+    fault = {"mode": mode, "after": 7, "ignore_resume": ignore_resume}
+    post_json(fleet.address_by_server[ran[0]], "/standin/fault", fault)
+    result = call(fleet, "chat", id, "assistente", mode, 12, exact=True)
+    assert (result.outcome, result.text.split()) == ("answered", ENGINE_WORDS)
+    assert sum(executions(fleet, id).values()) == 2
+
+
+def executions(fleet, id):
+    """Return the executions of a request id by engine."""
+    return {
+        server: get_json(address, "/standin/counts")["executions"].get(id, 0)
+        for server, address in fleet.address_by_server.items()
+        if server.startswith("assistente-")
+    }
+
+
+def test_stream_without_an_engine_left_ends_with_an_error_event(fleet, faults):
+    faults("assistente", "end", after=2)
+    results = [
+        call(fleet, "chat", f"no-engine-{number}", "assistente", "x", 12, exact=True)
+        for number in range(8)
+    ]
+    result = next(result for result in results if result.outcome != "answered")
+    assert (result.outcome, result.code, result.whole) == ("unknown", "server_failed", False)
+    assert result.text.split() == ENGINE_WORDS[: result.tokens]
+
+
+def test_caller_that_leaves_or_stops_reading_frees_its_slot(fleet, faults):
+    """A stream of 20 s is cancelled at the engine; an answer of 64 MB is not kept in memory."""
+    key = member_key(MEMBER)
+    body = (
+        b'{"model":"assistente","stream":true,"max_tokens":2000,"exact_tokens":true,'
+        b'"messages":[{"role":"user","content":"long"}]}'
+    )
+    head = "{} HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer " + key + "\r\n"
+    requests = [
+        head.format("POST /v1/chat/completions").encode()
+        + b"Content-Length: %d\r\n\r\n" % len(body)
+        + body,
+        head.format("GET /svc/pedidos/large/64000000").encode() + b"\r\n",
+    ]
+    host, _, port = address_of(fleet).partition(":")
+    wait_until(lambda: running(fleet) == 0)
+    with socket.create_connection((host, int(port))) as stalled:
+        stalled.sendall(requests[1])
+        with socket.create_connection((host, int(port))) as left:
+            left.sendall(requests[0])
+            assert left.recv(10)
+            assert running(fleet) >= 1
+        wait_until(lambda: running(fleet) == 0)
+    engines = [a for s, a in fleet.address_by_server.items() if s.startswith("assistente-")]
+    wait_until(lambda: not any(get_json(address, "/load")["running"] for address in engines))
