--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -43,6 +43,7 @@
 )
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _BODILESS = (204, 205, 304)
+_BACKLOG = 128
 
 
 class CallerHandler(Protocol):
@@ -247,6 +248,14 @@
         """Number of requests that are being answered."""
         return len(self._exchange_by_sock)
 
+    def stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, and no more after that."""
+        server = self._web.server
+        for _ in range(_BACKLOG):
+            for _ in server._accept():
+                pass
+        server._close(server._sock)
+
     def write(self, sock: socket.socket, data: bytes) -> None:
         """Send bytes of an answer."""
         self._sockets.write(sock, data)
