--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure.py
@@ -34,6 +34,7 @@
 _SECONDS = flags.DEFINE_float("seconds", _DEFAULTS.seconds, "sampling window", 1, 600)
 _TOKEN_RATE = flags.DEFINE_float("token_rate", _DEFAULTS.token_rate, "tokens/s per slot", 1, 1000)
 _BATCH = flags.DEFINE_float("batch_part", _DEFAULTS.batch_part, "part of batch calls", 0, 1)
+_SERVERS = flags.DEFINE_integer("servers", 0, "servers of the pool; 0: as deployed", 0, 64)
 _PLOT = flags.DEFINE_string("plot", "", "PNG file to write")
 
 
@@ -68,6 +69,7 @@
         seconds=_SECONDS.value,
         token_rate=_TOKEN_RATE.value,
         batch_part=_BATCH.value,
+        servers=_SERVERS.value,
     )
 
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_figures.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_figures.py
@@ -16,16 +16,16 @@
     :ivar served_by_member: cost served by all servers so far.
     :ivar running_by_member: calls that run at servers.
     :ivar outstanding_by_member: calls that wait or run.
-    :ivar busy_slot_s: slot-seconds used so far.
-    :ivar offered_slot_s: slot-seconds that existed so far.
+    :ivar busy_by_server: slot-seconds used so far.
+    :ivar offered_by_server: slot-seconds that existed so far.
     """
 
     at: float
     served_by_member: Mapping[str, float] = field(default_factory=dict)
     running_by_member: Mapping[str, int] = field(default_factory=dict)
     outstanding_by_member: Mapping[str, int] = field(default_factory=dict)
-    busy_slot_s: float = 0.0
-    offered_slot_s: float = 0.0
+    busy_by_server: Mapping[str, float] = field(default_factory=dict)
+    offered_by_server: Mapping[str, float] = field(default_factory=dict)
 
     def is_backlogged(self, member: str) -> bool:
         """Whether a call of the member waits anywhere."""
@@ -94,16 +94,18 @@
     return 2 * largest_cost + 2 * rate * report_age_s
 
 
-def utilisation(samples: Sequence[Sample]) -> float:
+def utilisation(samples: Sequence[Sample], without: Iterable[str] = ()) -> float:
     """Return busy capacity / capacity over the intervals at whose both ends calls waited.
 
+    :param without: servers that do not count, as those that are leaving.
     :returns: NaN if no call ever waited.
     """
     busy = offered = 0.0
     for before, after in itertools.pairwise(samples):
         if before.has_waiting() and after.has_waiting():
-            busy += after.busy_slot_s - before.busy_slot_s
-            offered += after.offered_slot_s - before.offered_slot_s
+            for server in after.busy_by_server.keys() - set(without):
+                busy += after.busy_by_server[server] - before.busy_by_server[server]
+                offered += after.offered_by_server[server] - before.offered_by_server[server]
     return busy / offered if offered else math.nan
 
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_report.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_report.py
@@ -56,7 +56,7 @@
         "gap_by_phase": _gap_by_phase(result),
         "samples_over_bound": sum(value > limit for value in gap.by_sample),
         "samples": len(result.samples),
-        "utilisation": _rounded(utilisation(result.samples), 4),
+        "utilisation": _rounded(utilisation(result.samples, result.fault.left_servers), 4),
         "utilisation_by_phase": _utilisation_by_phase(result),
         **_times(inside, result),
         "control_bytes_per_s": round(_mean(result.control.values())),
@@ -133,7 +133,8 @@
 
 
 def _utilisation_by_phase(result: RunResult) -> list[float | None]:
-    return [_rounded(utilisation(phase), 4) for phase in _phases(result)]
+    left = result.fault.left_servers
+    return [_rounded(utilisation(phase, left), 4) for phase in _phases(result)]
 
 
 def _service_per_share(result: RunResult) -> dict[str, float]:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
@@ -188,7 +188,6 @@
             dict(zip(names, documents, strict=True)),
             outstanding,
             self._pool.window,
-            self._result.fault.left_servers,
         )
 
     def _usage(self) -> dict[str, Any]:
@@ -220,24 +219,18 @@
     document_by_server: dict[str, dict[str, Any]],
     outstanding: dict[str, int],
     window: int,
-    left_servers: tuple[str, ...],
 ) -> Sample:
-    """Sum what the engines have counted.
-
-    :param left_servers: servers that do not count for utilisation.
-    """
+    """Sum what the engines have counted."""
     served: dict[str, float] = {}
     running: Counter[str] = Counter()
-    busy = offered = 0.0
-    for server, document in document_by_server.items():
+    for document in document_by_server.values():
         running.update(document["running"])
         for member, tokens in document["tokens"].items():
             served[member] = served.get(member, 0.0) + tokens
         for member, tokens in document["prompt_tokens"].items():
             served[member] = served.get(member, 0.0) + tokens * _PROMPT_WEIGHT
-        if server not in left_servers:
-            busy += document["busy_slot_s"]
-            offered += window * document["at"]
+    busy = {server: doc["busy_slot_s"] for server, doc in document_by_server.items()}
+    offered = {server: window * doc["at"] for server, doc in document_by_server.items()}
     return Sample(at, served, running, outstanding, busy, offered)
 
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_measure.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_measure.py
@@ -40,17 +40,24 @@
 @pytest.mark.parametrize(
     ("rows", "expected"),
     [
-        # Idle slots count only while a call waits.
+        # Idle slots count only while a call waits, and not those of a server that is leaving.
         ([(0, 0, 1), (8, 10, 1), (8, 20, 0), (8, 30, 0)], 0.8),
         ([(0, 0, 0), (0, 10, 0)], math.nan),
     ],
 )
 def test_utilisation_counts_only_while_calls_wait(rows, expected):
     samples = [
-        Sample(float(i), {}, {"a": 1}, {"a": 1 + waiting}, busy, offered)
+        Sample(
+            float(i),
+            {},
+            {"a": 1},
+            {"a": 1 + waiting},
+            {"s": busy, "left": 0.0},
+            {"s": offered, "left": 10.0 * i},
+        )
         for i, (busy, offered, waiting) in enumerate(rows)
     ]
-    assert utilisation(samples) == pytest.approx(expected, nan_ok=True)
+    assert utilisation(samples, ["left"]) == pytest.approx(expected, nan_ok=True)
 
 
 @pytest.mark.parametrize(
