--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -1,7 +1,7 @@
 """Division of serving capacity between members: costs, queues, portions, coordination."""
 
 from .authority import CoordinatorLease, LeaseRecord, LeaseRules, is_majority
-from .baselines import POLICY_BY_NAME, SharingPolicy
+from .baselines import POLICY_BY_NAME, SharingPolicy, divide_evenly
 from .coordination import Coordinator, PoolRules
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
@@ -35,6 +35,7 @@
     "TokenBucket",
     "WaitingCall",
     "allocate",
+    "divide_evenly",
     "is_majority",
     "normalised_shares",
     "split",
