Order engines to hold their pool's model and place spare engines where calls wait

Cause: nothing gave orders to engines; a spare engine could not follow waiting work. Change: the holder of a pool's lease compares what its engines hold with the settings and orders the difference, with the lease's epoch as fencing number; each order is authorised by an audit record whose write is conditional on the lease. Spare engines move by rows that change only under the lease coordinators/spares, after their running calls have ended; hysteresis keeps them from moving with every change of load. Measured: two tests with real processes pass: engines reach version 2 with one audited order each, and a spare joins the pool whose calls wait, after its load, and executes calls. Conclusion: orders follow settings and waiting work.

--- a/packages/parsleyrudder/parsleyrudder/backends.py
+++ b/packages/parsleyrudder/parsleyrudder/backends.py
@@ -12,13 +12,13 @@
 
 from .delivery import AttemptEnd
 from .errors import RudderError
+from .placement import EngineState, Order
 
 __all__ = [
     "BackendError",
     "EngineAccess",
     "EngineListener",
     "EngineLoad",
-    "EngineOrder",
     "EngineRequest",
     "Instance",
     "InstanceList",
@@ -90,18 +90,6 @@
     window: int
 
 
-class EngineOrder(msgspec.Struct, frozen=True):
-    """An order to load a model, adapter or version, or to change role.
-
-    :ivar fence: fencing number; engines that check it refuse an order with a lower one than they
-        have seen.
-    """
-
-    fence: int
-    action: str
-    argument: str = ""
-
-
 class EngineAccess(Protocol):
     """Asynchronous access to model engines."""
 
@@ -115,8 +103,12 @@
         """Read the load of an engine."""
         ...
 
+    def state(self, address: str, done: Callable[[EngineState | BackendError], None]) -> None:
+        """Read what an engine holds and loads."""
+        ...
+
     def order(
-        self, address: str, order: EngineOrder, done: Callable[[bool | BackendError], None]
+        self, address: str, order: Order, done: Callable[[bool | BackendError], None]
     ) -> None:
         """Give an order; the result tells whether it was taken, or refused for its fence."""
         ...
--- a/packages/parsleyrudder/parsleyrudder/placement/spares.py
+++ b/packages/parsleyrudder/parsleyrudder/placement/spares.py
@@ -15,14 +15,14 @@
     The distance between the two backlogs, and the times, keep spares from moving with every change
     of load: a load of weights costs minutes of an engine.
 
-    :ivar high_backlog_s: a pool wants a spare when its waiting work lasts longer than this.
-    :ivar low_backlog_s: a pool may lose a spare when its waiting work lasts less than this.
+    :ivar high_backlog: a pool wants a spare from this many waiting calls per slot.
+    :ivar low_backlog: a pool may lose a spare up to this many waiting calls per slot.
     :ivar hold_s: time for which either must hold.
     :ivar stay_s: time that a spare stays at least.
     """
 
-    high_backlog_s: float = 10.0
-    low_backlog_s: float = 1.0
+    high_backlog: float = 1.0
+    low_backlog: float = 0.1
     hold_s: float = 15.0
     stay_s: float = 120.0
 
@@ -48,10 +48,12 @@
     _low_since: dict[str, float] = field(default_factory=dict)
     _placed_at: dict[str, float] = field(default_factory=dict)
 
-    def on_backlog(self, pool: str, backlog_s: float, now: float) -> None:
-        """Take a pool's waiting work, in seconds of its present capacity."""
-        _track(self._high_since, pool, backlog_s >= self.rules.high_backlog_s, now)
-        _track(self._low_since, pool, backlog_s <= self.rules.low_backlog_s, now)
+    def on_backlog(self, pool: str, backlog: float | None, now: float) -> None:
+        """Take a pool's waiting calls per slot; None if they are not known."""
+        high = backlog is not None and backlog >= self.rules.high_backlog
+        low = backlog is not None and backlog <= self.rules.low_backlog
+        _track(self._high_since, pool, high, now)
+        _track(self._low_since, pool, low, now)
 
     def step(
         self,
--- a/packages/parsleyrudder/parsleyrudder/placement/tests/test_placement.py
+++ b/packages/parsleyrudder/parsleyrudder/placement/tests/test_placement.py
@@ -53,8 +53,8 @@
     state = state or {}
     result = []
     for now in times:
-        for pool, backlog_s in backlog_by_pool.items():
-            planner.on_backlog(pool, backlog_s, now)
+        for pool, backlog in backlog_by_pool.items():
+            planner.on_backlog(pool, backlog, now)
         moves = planner.step(rows, state, wanted, now)
         rows.update((move.server, move.new) for move in moves)
         result.append([(move.server, move.new.pool, move.new.state) for move in moves])
@@ -64,11 +64,11 @@
 @pytest.mark.parametrize(
     ("row", "backlogs", "expected"),
     [
-        (Placement(), {"a": 20.0, "b": 0.0}, [("s", "a", PlacementState.LOADING)]),
-        (Placement("b"), {"a": 20.0, "b": 0.0}, [("s", "b", PlacementState.DRAINING)]),
-        (Placement("b"), {"a": 20.0, "b": 5.0}, []),
-        (Placement("a"), {"a": 20.0, "b": 0.0}, []),
-        (Placement("b"), {"a": 5.0, "b": 0.0}, []),
+        (Placement(), {"a": 2.0, "b": 0.0}, [("s", "a", PlacementState.LOADING)]),
+        (Placement("b"), {"a": 2.0, "b": 0.0}, [("s", "b", PlacementState.DRAINING)]),
+        (Placement("b"), {"a": 2.0, "b": 0.5}, []),
+        (Placement("a"), {"a": 2.0, "b": 0.0}, []),
+        (Placement("b"), {"a": 0.5, "b": 0.0}, []),
     ],
 )
 def test_spare_goes_where_work_waits_and_is_not_taken_from_a_busy_pool(row, backlogs, expected):
@@ -79,9 +79,9 @@
 
 def test_short_peak_moves_nothing():
     planner, rows = SparePlanner(), {"s": Placement()}
-    run_planner(planner, rows, {"a": 20.0}, range(0, 15, 5))
-    assert run_planner(planner, rows, {"a": 5.0}, range(15, 100, 5)) == [[]] * 17
-    assert run_planner(planner, rows, {"a": 20.0}, range(100, 115, 5)) == [[]] * 3
+    run_planner(planner, rows, {"a": 2.0}, range(0, 15, 5))
+    assert run_planner(planner, rows, {"a": 0.5}, range(15, 100, 5)) == [[]] * 17
+    assert run_planner(planner, rows, {"a": 2.0}, range(100, 115, 5)) == [[]] * 3
 
 
 def test_move_waits_for_running_calls_and_for_the_load():
--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -125,6 +125,15 @@
             self._asked_at = -math.inf
         return True
 
+    @property
+    def revision(self) -> int:
+        """Revision of the record as last read; the condition of writes under this lease."""
+        return self._revision
+
+    def is_valid(self, now: float) -> bool:
+        """Whether the table's own lease runs, which is enough for what conditional writes guard."""
+        return self.is_holder() and now < self._valid_until
+
     def may_grant(self, now: float) -> bool:
         """Whether this router may grant portions now."""
         if not self.is_acting() or self.record is None:
--- a/packages/parsleyrudder/parsleyrudder/sharing/totals.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/totals.py
@@ -125,6 +125,10 @@
         """Return the members with waiting or running calls, by name."""
         return sorted(self._busy)
 
+    def waiting_total(self) -> int:
+        """Return the number of calls that wait anywhere."""
+        return sum(sum(self.waiting(member).values()) for member in self._busy)
+
     def share(self, member: str) -> float:
         """Return a member's weight; members that are not listed have weight 1."""
         return self.share_by_member.get(member, 1.0)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
@@ -1,6 +1,7 @@
 """Engine adapter: chat completions as server-sent events, load and orders over HTTP."""
 
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 from parsleyrudder import (
@@ -8,8 +9,9 @@
     BackendError,
     EngineListener,
     EngineLoad,
-    EngineOrder,
     EngineRequest,
+    EngineState,
+    Order,
 )
 
 from .http_client import Exchange, HttpClient, HttpRequest
@@ -17,12 +19,13 @@
 
 __all__ = ["HttpEngines"]
 
+_T = TypeVar("_T", EngineLoad, EngineState)
 _DONE = b"data: [DONE]"
 _JSON = ("Content-Type", "application/json")
 _REMEDY = "check the engine and its address in the settings"
 _OLD_FENCE = 409
 _ORDER_TIMEOUT_S = 30.0
-_LOAD_TIMEOUT_S = 2.0
+_READ_TIMEOUT_S = 2.0
 # An engine that sends no end of event in so many bytes does not speak the protocol.
 _LONGEST_EVENT_BYTES = 1 << 20
 
@@ -61,23 +64,38 @@
 
     def load(self, address: str, done: Callable[[EngineLoad | BackendError], None]) -> None:
         """Read the load of an engine."""
+        self._read(address, "/load", EngineLoad, done)
+
+    def state(self, address: str, done: Callable[[EngineState | BackendError], None]) -> None:
+        """Read what an engine holds and loads."""
+        self._read(address, "/models", EngineState, done)
+
+    def _read(
+        self,
+        address: str,
+        path: str,
+        kind: type[_T],
+        done: Callable[[_T | BackendError], None],
+    ) -> None:
+        what = f"{path[1:]} of {address}"
 
         def on_answer(status: int, headers: dict[str, str], body: bytes) -> None:
+            if status != 200:
+                done(BackendError(f"{what}: status {status}", _REMEDY))
+                return
             try:
-                if status != 200:
-                    raise BackendError(f"load of {address}: status {status}", _REMEDY)
-                done(msgspec.json.decode(body, type=EngineLoad))
+                document = msgspec.json.decode(body, type=kind)
             except msgspec.MsgspecError as error:
-                done(BackendError(f"load of {address}: {error}", _REMEDY))
-            except BackendError as error:
-                done(error)
+                done(BackendError(f"{what}: {error}", _REMEDY))
+                return
+            done(document)
 
-        listener = WholeAnswer(on_answer, _failure(f"load of {address}", done))
-        request = HttpRequest("GET", "/load", reuse=True)
-        listener.exchange = self._client.send(address, request, listener, _LOAD_TIMEOUT_S)
+        listener = WholeAnswer(on_answer, _failure(what, done))
+        request = HttpRequest("GET", path, reuse=True)
+        listener.exchange = self._client.send(address, request, listener, _READ_TIMEOUT_S)
 
     def order(
-        self, address: str, order: EngineOrder, done: Callable[[bool | BackendError], None]
+        self, address: str, order: Order, done: Callable[[bool | BackendError], None]
     ) -> None:
         """Give an order; the result tells whether it was taken, or refused for its fence."""
 
@@ -87,8 +105,9 @@
             else:
                 done(BackendError(f"order to {address}: status {status}", _REMEDY))
 
+        body = msgspec.json.encode({"fence": order.fence, "wanted": order.wanted})
         listener = WholeAnswer(on_answer, _failure(f"order to {address}", done))
-        request = HttpRequest("POST", "/orders", [_JSON], msgspec.json.encode(order))
+        request = HttpRequest("POST", "/orders", [_JSON], body)
         listener.exchange = self._client.send(address, request, listener, _ORDER_TIMEOUT_S)
 
 
@@ -176,5 +195,5 @@
         self._listener.on_failed(AttemptEnd.BROKEN, reason)
 
 
-def _failure(what: str, done: Callable[[BackendError], None]) -> Callable[[AttemptEnd, str], None]:
+def _failure(what: str, done: Callable[..., None]) -> Callable[[AttemptEnd, str], None]:
     return lambda end, reason: done(BackendError(f"{what}: {reason}", _REMEDY))
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -7,18 +7,20 @@
 
 import msgspec
 from msgspec import Meta
-from parsleyrudder import RowFault, SettingsError, convert_row
+from parsleyrudder import OrderRules, RowFault, SettingsError, convert_row
 
 from .guard import GuardLimits
 
 __all__ = [
     "InstanceListSettings",
+    "OrderSettings",
     "PeerSettings",
     "PoolSettings",
     "RouteSettings",
     "RouterSettings",
     "Seed",
     "ServerSettings",
+    "SpareSettings",
     "Settings",
     "TableSettings",
     "load_settings",
@@ -172,6 +174,9 @@
     :ivar server_silence_s: time between two parts of an answer.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
     :ivar policy: how slots are shared; all but ``fair`` are baselines for measurements.
+    :ivar model: model that the engines should hold; the pool's name if empty.
+    :ivar version: version of the model that they should hold.
+    :ivar adapters: adapters that they should hold.
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
     """
 
@@ -190,10 +195,45 @@
     interactive_reserve: _Fraction = 0.0
     policy: Literal["fair", "fifo", "local-fair", "static"] = "fair"
     load_interval_s: _Seconds = 1.0
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
     orders_fenced: bool = True
     routes: tuple[RouteSettings, ...] = ()
 
 
+class SpareSettings(ServerSettings, frozen=True):
+    """An engine that serves one of several pools at a time.
+
+    :ivar pools: pools that it may serve.
+    """
+
+    pools: tuple[_Name, ...]
+
+
+class OrderSettings(_Section, frozen=True):
+    """Orders to engines, and the placement of spare engines.
+
+    :ivar loads_per_minute: loads of weights that may start; keeps the weight store's rate.
+    :ivar loads_at_once: engines of one pool that may be loading at the same time.
+    :ivar high_backlog: waiting calls per slot from which a pool wants a spare.
+    :ivar low_backlog: waiting calls per slot up to which a pool may lose one.
+    :ivar backlog_hold_s: time for which either must hold.
+    :ivar spare_stay_s: time that a spare stays with a pool at least.
+    """
+
+    loads_per_minute: _Positive = 6.0
+    loads_at_once: _Count = 1
+    high_backlog: _Positive = 1.0
+    low_backlog: _Amount = 0.1
+    backlog_hold_s: _Seconds = 15.0
+    spare_stay_s: _Seconds = 120.0
+
+    def rules(self) -> OrderRules:
+        """Return the limits on orders."""
+        return OrderRules(self.loads_per_minute, self.loads_at_once)
+
+
 class Settings(_Section, frozen=True, kw_only=True):
     """All settings of one daemon."""
 
@@ -202,6 +242,8 @@
     instances: InstanceListSettings
     peers: PeerSettings
     pools: tuple[PoolSettings, ...]
+    spares: tuple[SpareSettings, ...] = ()
+    orders: OrderSettings = OrderSettings()
     limits: GuardLimits = GuardLimits()
 
 
@@ -247,6 +289,13 @@
     pools = list(_tables(document, "pools", ""))
     seeds = list(_tables(_table(document, "peers"), "seeds", "peers."))
     servers = [row for path, pool in pools for row in _tables(pool, "servers", f"{path}.")]
+    spares = list(_tables(document, "spares", ""))
+    servers += spares
+    names = {pool.get("name") for _, pool in pools}
+    for path, spare in spares:
+        unknown = [name for name in spare.get("pools", ()) if name not in names]
+        if unknown:
+            yield RowFault(f"{path}.pools", f"found {unknown[0]!r}", "name pools of this file")
     if document.get("pools") == []:
         yield RowFault("pools", "found []", "describe at least one pool")
     yield from _duplicates(pools, "name")
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from parsleyrudder import AttemptEnd, BackendError, EngineOrder, EngineRequest
+from parsleyrudder import AttemptEnd, BackendError, EngineRequest, Loaded, Order
 from parsleyrudder_adapters.engines import HttpEngines
 from parsleyrudder_standins.engine import EngineStandIn
 
@@ -30,8 +30,8 @@
 def engine(serving, client):
     """Return a function that starts an engine: its server, its stand-in and the adapter."""
 
-    def start(window=4, token_s=0.001, fenced=True):
-        standin = EngineStandIn(window, token_s, fenced)
+    def start(window=4, token_s=0.001, fenced=True, load_s=0.0):
+        standin = EngineStandIn(window, token_s, fenced, load_s)
         return serving(standin.handle, standin.report_load()), standin, HttpEngines(client)
 
     return start
@@ -134,22 +134,42 @@
     server, standin, engines = engine(fenced=fenced)
     results: list = []
     for fence in (5, 5, 4):
-        order = EngineOrder(fence, "load_model", f"m-{len(results)}")
+        order = Order("e1", fence, Loaded(f"m-{len(results)}"))
         count = len(results) + 1
         loop.call(lambda order=order: engines.order(server.address, order, results.append))
         loop.until(lambda count=count: len(results) == count)
     assert results == taken
-    assert [order["argument"] for order in standin.orders] == [
+    assert [order["wanted"]["model"] for order in standin.orders] == [
         f"m-{i}" for i, was_taken in enumerate(taken) if was_taken
     ]
 
 
+def test_engine_tells_what_it_loads_and_holds(loop, engine):
+    """Guards against an order that is taken for done while the engine still loads."""
+    server, _, engines = engine(load_s=0.2)
+    seen: list = []
+
+    def settled():
+        count = len(seen)
+        loop.call(lambda: engines.state(server.address, seen.append))
+        loop.until(lambda: len(seen) > count)
+        return seen[-1].loaded == Loaded("m", "2")
+
+    assert not settled()
+    loop.call(
+        lambda: engines.order(server.address, Order("e", 1, Loaded("m", "2")), lambda _: None)
+    )
+    loop.until(settled)
+    assert any(state.loading == Loaded("m", "2") for state in seen)
+    assert all(state.loaded is None for state in seen[:-1])
+
+
 def test_load_and_order_without_an_engine_are_errors(loop, engine):
     """Guards against a failed read that raises in the loop or counts as an idle engine."""
     server, _, engines = engine()
     server.stop_listening()
     results: list = []
     loop.call(lambda: engines.load(server.address, results.append))
-    loop.call(lambda: engines.order(server.address, EngineOrder(1, "x"), results.append))
+    loop.call(lambda: engines.order(server.address, Order("e1", 1, Loaded("x")), results.append))
     loop.until(lambda: len(results) == 2)
     assert all(isinstance(result, BackendError) and result.remedy for result in results)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_settings.py
@@ -172,8 +172,10 @@
         if isinstance(inner, type) and issubclass(inner, msgspec.Struct):
             yield from documented_fields(inner, path + ("[]." if many else "."))
         else:
-            default = msgspec.json.encode(field.default).decode() if not field.required else ""
-            yield f"`{path}`", default.strip('"') or "required"
+            default = "required"
+            if not field.required:
+                default = msgspec.json.encode(field.default).decode().strip('"') or "empty"
+            yield f"`{path}`", default
 
 
 def test_table_of_settings_is_complete():
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -21,6 +21,7 @@
     ViewRules,
     failure,
 )
+from parsleyrudder_adapters.engines import HttpEngines
 from parsleyrudder_adapters.etcd import EtcdTable
 from parsleyrudder_adapters.front import CallerFront
 from parsleyrudder_adapters.http_client import HttpClient
@@ -34,7 +35,9 @@
 from .context import Context
 from .fleet_task import FleetTask
 from .key_task import KeyTask
+from .orders_task import OrdersTask
 from .pool_task import PoolTask
+from .spares_task import SparesTask
 from .status import status_document
 
 __all__ = ["RouterApp"]
@@ -80,6 +83,9 @@
         )
         self.context.keys = KeyTask(self.context)
         self.pool_by_name = {pool.name: PoolTask(self.context, pool) for pool in settings.pools}
+        engines = HttpEngines(client)
+        self.orders_task = OrdersTask(self.context, engines, self.pool_by_name.values())
+        self.spares_task = SparesTask(self.context, engines, self.pool_by_name.values())
         self.config_task = ConfigTask(self.context, self._on_config)
         rng = random.Random(f"{settings.router.name}:{self._incarnation}")
         self.fleet_task = FleetTask(
@@ -116,6 +122,8 @@
         self.context.keys.start()
         for pool in self.pool_by_name.values():
             pool.start()
+        self.orders_task.start()
+        self.spares_task.start()
 
     @handler("stop_requested")
     def _on_stop_requested(self) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -31,7 +31,7 @@
     rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
-from parsleyrudder_adapters.settings import PoolSettings
+from parsleyrudder_adapters.settings import PoolSettings, SpareSettings
 from parsleyrudder_adapters.timers import Timer
 
 from .context import Context
@@ -67,11 +67,13 @@
         self.costs = CostModel(settings.prompt_weight, settings.token_weight)
         self.budget = RetryBudget()
         self._context = context
+        self.coordinator: Coordinator | None = None
         self.servers = ServerTable(context.settings.router.failure_domain)
         self._all_servers = [
             ServerInfo(s.id, settings.name, s.address, s.failure_domain, s.window)
-            for s in settings.servers
+            for s in [*settings.servers, *self._spares_of(context)]
         ]
+        self._idle_spares = frozenset(spare.id for spare in self._spares_of(context))
         self._policy = POLICY_BY_NAME[settings.policy]
         self.scheduler = self._policy.scheduler(
             context.name,
@@ -86,7 +88,6 @@
         self.lease = CoordinatorLease(
             settings.name, context.name, context.incarnation, started_at=context.now()
         )
-        self.coordinator: Coordinator | None = None
         self._user_by_call: dict[str, PoolUser] = {}
         self._timer: Timer | None = None
         self._timer_at = 0.0
@@ -108,8 +109,21 @@
     def set_leaving(self, leaving: Iterable[str]) -> None:
         """Stop sending new work to the servers that are leaving."""
         self.servers.set_servers(self._all_servers, leaving)
-        if self.coordinator is not None:
-            self.coordinator.set_servers(self.servers.windows())
+        self._set_windows()
+
+    def set_spares(self, serving: frozenset[str]) -> None:
+        """Set which of the spare engines serve this pool now."""
+        spares = frozenset(spare.id for spare in self._spares_of(self._context))
+        if spares - serving != self._idle_spares:
+            self._idle_spares = spares - serving
+            self._set_windows()
+
+    def waiting_per_slot(self) -> float:
+        """Return the pool's waiting calls per slot, as the coordinator knows them."""
+        if self.coordinator is None:
+            return 0.0
+        slots = sum(self._windows().values())
+        return self.coordinator.totals.waiting_total() / max(1, slots)
 
     def submit(self, call: WaitingCall, user: PoolUser) -> Failure | None:
         """Let a call wait for a server; return why it is refused, or None."""
@@ -252,10 +266,22 @@
             started_at=now,
             expected=set(self.lease.previous_view),
         )
-        self.coordinator.set_servers(self.servers.windows())
+        self._set_windows()
         self._set_members()
         log_event(_LOGGER, "coordination_begun", pool=self.name, epoch=self.lease.epoch)
 
+    def _spares_of(self, context: Context) -> list[SpareSettings]:
+        return [spare for spare in context.settings.spares if self.name in spare.pools]
+
+    def _windows(self) -> dict[str, int]:
+        """Return the windows of the servers that serve this pool now."""
+        windows = self.servers.windows()
+        return {id: window for id, window in windows.items() if id not in self._idle_spares}
+
+    def _set_windows(self) -> None:
+        if self.coordinator is not None:
+            self.coordinator.set_servers(self._windows())
+
     def _set_members(self) -> None:
         if self.coordinator is None:
             return
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/spares_task.py
@@ -0,0 +1,157 @@
+"""Placement of spare engines: which pool each of them serves.
+
+The decider holds the lease ``coordinators/spares``. Rows ``placement/<server>`` say where each
+spare serves; a row changes only if neither it nor the lease has changed since they were read.
+Coordinators of pools publish their waiting calls in ``backlog/<pool>``.
+"""
+
+import logging
+from collections.abc import Iterable
+
+import msgspec
+from parsleyrudder import (
+    Compare,
+    CoordinatorLease,
+    EngineAccess,
+    Move,
+    Placement,
+    PlacementState,
+    Put,
+    Range,
+    Reconciler,
+    SparePlanner,
+    SpareRules,
+    TableError,
+    Txn,
+    TxnResult,
+    rendezvous,
+)
+from parsleyrudder_adapters.logs import log_event
+
+from .context import Context
+from .orders_task import OrderGiver, audit_record, wanted_by
+from .pool_task import PoolTask
+
+__all__ = ["SparesTask"]
+
+_LOGGER = logging.getLogger(__name__)
+_INTERVAL_S = 2.0
+_STALE_S = 10.0
+_PLACEMENT = "placement/"
+_BACKLOG = "backlog/"
+_SPARES = "spares"
+
+
+class SparesTask:
+    """Owner of this router's part in the placement of spares; idle where there are none."""
+
+    def __init__(self, context: Context, engines: EngineAccess, pools: Iterable[PoolTask]) -> None:
+        self._context = context
+        settings = context.settings
+        self._spare_by_id = {spare.id: spare for spare in settings.spares}
+        self._pool_by_name = {pool.name: pool for pool in pools if pool.settings.kind == "engine"}
+        addresses = {spare.id: spare.address for spare in settings.spares}
+        rules = settings.orders.rules()
+        self._giver = OrderGiver(context, engines, Reconciler(rules), addresses)
+        orders = settings.orders
+        self._planner = SparePlanner(
+            SpareRules(
+                orders.high_backlog, orders.low_backlog, orders.backlog_hold_s, orders.spare_stay_s
+            )
+        )
+        self._lease = CoordinatorLease(_SPARES, context.name, context.incarnation)
+        self._row_by_spare: dict[str, Placement] = {}
+        self._revision_by_spare: dict[str, int] = {}
+        self._backlog_seen: dict[str, tuple[int, float]] = {}
+
+    def start(self) -> None:
+        """Begin to follow, and perhaps to decide, the placement."""
+        if self._spare_by_id:
+            self._context.timers.every(_INTERVAL_S, self._step)
+
+    def _step(self) -> None:
+        now = self._context.now()
+        coordinated = [pool for pool in self._pool_by_name.values() if pool.lease.is_valid(now)]
+        self._step_lease(now)
+        puts = tuple(
+            Put(_BACKLOG + pool.name, msgspec.json.encode(pool.waiting_per_slot()))
+            for pool in coordinated
+        )
+        if puts or self._lease.is_valid(now):
+            reads = (Range(_PLACEMENT, prefix=True), Range(_BACKLOG, prefix=True))
+            self._context.table.txn(Txn((), puts, (), reads), self._on_rows)
+
+    def _step_lease(self, now: float) -> None:
+        view = self._context.view.staying(now)
+        holder = self._lease.record.holder if self._lease.record else ""
+        first = holder if holder in view else next(iter(rendezvous(_SPARES, view)), "")
+        txn = self._lease.next_txn(now, first == self._context.name, view)
+        if txn is None:
+            return
+
+        def done(result: TxnResult | TableError) -> None:
+            if isinstance(result, TxnResult):
+                self._lease.on_result(txn, result, now, self._context.now())
+
+        self._context.table.txn(txn, done)
+
+    def _on_rows(self, result: TxnResult | TableError) -> None:
+        if isinstance(result, TableError):
+            return
+        row_by_spare = {row.key.removeprefix(_PLACEMENT): row for row in result.rows[0]}
+        for id in self._spare_by_id:
+            row = row_by_spare.get(id)
+            placement = msgspec.json.decode(row.value, type=Placement) if row else Placement()
+            self._row_by_spare[id] = placement
+            self._revision_by_spare[id] = row.revision if row else 0
+        for pool in self._pool_by_name.values():
+            pool.set_spares(self._serving(pool.name))
+        now = self._context.now()
+        for row in result.rows[1]:
+            self._take_backlog(row.key.removeprefix(_BACKLOG), row.revision, row.value, now)
+        if self._lease.is_valid(now):
+            self._decide(now)
+
+    def _take_backlog(self, pool: str, revision: int, value: bytes, now: float) -> None:
+        """Take a pool's published backlog; one that no longer changes counts as unknown."""
+        seen, seen_at = self._backlog_seen.get(pool, (0, now))
+        if revision != seen:
+            seen_at = now
+        self._backlog_seen[pool] = (revision, seen_at)
+        fresh = now - seen_at < _STALE_S
+        backlog = msgspec.json.decode(value, type=float) if fresh else None
+        self._planner.on_backlog(pool, backlog, now)
+
+    def _decide(self, now: float) -> None:
+        wanted_by_pool = {name: wanted_by(p.settings) for name, p in self._pool_by_name.items()}
+        states = self._giver.state_by_server
+        for move in self._planner.step(self._row_by_spare, states, wanted_by_pool, now):
+            if (move.new.next or move.new.pool) in self._spare_by_id[move.server].pools:
+                self._write(move)
+        wanted = {
+            id: wanted_by_pool[row.pool]
+            for id, row in self._row_by_spare.items()
+            if row.pool in wanted_by_pool and row.state != PlacementState.DRAINING
+        }
+        self._giver.order(self._lease, wanted)
+        self._giver.look()
+
+    def _write(self, move: Move) -> None:
+        """Write a spare's new row, if neither the row nor the lease has changed."""
+        key = _PLACEMENT + move.server
+        target = f"{move.server} {move.new.pool} {move.new.state} {move.new.next}".rstrip()
+        compares = (
+            Compare(key, self._revision_by_spare[move.server]),
+            Compare(self._lease.key, self._lease.revision),
+        )
+        audit = audit_record(self._context.name, "place", target)
+        puts = (Put(key, msgspec.json.encode(move.new)), audit)
+        log_event(_LOGGER, "spare_placed", server=move.server, pool=move.new.pool)
+        self._context.table.txn(Txn(compares, puts), lambda result: None)
+
+    def _serving(self, pool: str) -> frozenset[str]:
+        return frozenset(
+            id
+            for id, row in self._row_by_spare.items()
+            if row.pool == pool and row.state == PlacementState.SERVING
+        )
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/engine.py
@@ -31,9 +31,18 @@
     :param window: requests that run at the same time.
     :param token_s: time per token.
     :param fenced: whether orders with an old fencing number are refused.
+    :param load_s: time that a load of weights takes; it runs no calls meanwhile.
+    :param model: what it holds at the start; empty for a model that no pool asks for.
     """
 
-    def __init__(self, window: int, token_s: float, fenced: bool = True) -> None:
+    def __init__(
+        self,
+        window: int,
+        token_s: float,
+        fenced: bool = True,
+        load_s: float = 0.0,
+        model: str = "",
+    ) -> None:
         self._slots = asyncio.Semaphore(window)
         self._window = window
         self._token_s = token_s
@@ -49,6 +58,12 @@
         self.most_running = 0
         self.executions: dict[str, int] = {}
         self.orders: list[dict[str, Any]] = []
+        self._load_s = load_s
+        self.loaded: dict[str, Any] | None = None
+        if model:
+            self.loaded = {"model": model, "version": "", "adapters": [], "role": "both"}
+        self.loading: dict[str, Any] | None = None
+        self._load_task: asyncio.Task[None] | None = None
         self._service = _Service()
 
     async def report_load(self) -> None:
@@ -70,6 +85,9 @@
         elif request.path == "/cache/events":
             after = int(parse_qs(request.query).get("after", ["0"])[0])
             await reply.send_json(200, self._cache.published(after))
+        elif request.path == "/models":
+            state = {"loaded": self.loaded, "loading": self.loading, "running": self.running}
+            await reply.send_json(200, state)
         elif request.path == "/orders":
             await self._order(request, reply)
         elif request.path == "/standin/fault":
@@ -91,7 +109,7 @@
         if self._mode == "fail":
             await reply.send_json(500, {"error": "engine failure"})
             return
-        if self._mode == "refuse":
+        if self._mode == "refuse" or self.loading is not None:
             await reply.send(503, b"{}", {"X-Not-Run": "true"})
             return
         body = request.json()
@@ -152,8 +170,20 @@
             return
         self._fence = max(self._fence, order["fence"])
         self.orders.append(order)
+        if order["wanted"] not in (self.loaded, self.loading):
+            self._begin_load(order["wanted"])
         await reply.send_json(200, {"fence": self._fence})
 
+    def _begin_load(self, wanted: dict[str, Any]) -> None:
+        if self._load_task is not None:
+            self._load_task.cancel()
+        self.loaded, self.loading = None, wanted
+        self._load_task = asyncio.ensure_future(self._load(wanted))
+
+    async def _load(self, wanted: dict[str, Any]) -> None:
+        await asyncio.sleep(self._load_s)
+        self.loaded, self.loading = wanted, None
+
 
 class _Service:
     """Work done so far, for measurements; a request's field ``user`` names its member.
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -70,12 +70,20 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """A fleet of one deployment; a context manager that stops everything at its end."""
+    """A fleet of one deployment; a context manager that stops everything at its end.
+
+    :ivar pool_settings: settings of every pool that differ from the deployment.
+    :ivar router_settings: settings of every router that differ.
+    :ivar sections: further sections of the settings files.
+    :ivar spares: spare engines of the first engine pool.
+    """
 
     deployment: Deployment
     routers: int = 3
     pool_settings: dict[str, Any] = field(default_factory=dict)
     router_settings: dict[str, Any] = field(default_factory=dict)
+    sections: dict[str, Any] = field(default_factory=dict)
+    spares: int = 0
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="rudder-")))
     router_by_name: dict[str, RouterProcess] = field(default_factory=dict)
     address_by_server: dict[str, str] = field(default_factory=dict)
@@ -166,7 +174,8 @@
 
     def _start_standins(self) -> None:
         deployment = self.deployment
-        ports = iter(free_ports(2 + sum(pool.servers for pool in deployment.pools)))
+        servers = sum(pool.servers for pool in deployment.pools) + self.spares
+        ports = iter(free_ports(2 + servers))
         table_port, instances_port = next(ports), next(ports)
         self.table_address = f"127.0.0.1:{table_port}"
         self.instances_address = f"127.0.0.1:{instances_port}"
@@ -176,11 +185,24 @@
                 port = next(ports)
                 self.address_by_server[f"{pool.name}-{index + 1}"] = f"127.0.0.1:{port}"
                 if pool.kind == "engine":
-                    parameters = {"window": pool.window, "token_s": pool.token_s}
+                    parameters = {
+                        "window": pool.window,
+                        "token_s": pool.token_s,
+                        "model": pool.name,
+                    }
                 else:
                     parameters = {"call_s": pool.call_s}
                 specs.append({"kind": pool.kind, "port": port, **parameters})
             self._start_standin(pool.name, specs)
+        engine = deployment.pool("engine")
+        specs = []
+        for index in range(self.spares):
+            port = next(ports)
+            self.address_by_server[f"spare-{index + 1}"] = f"127.0.0.1:{port}"
+            parameters = {"window": engine.window, "token_s": engine.token_s, "load_s": 0.5}
+            specs.append({"kind": "engine", "port": port, **parameters})
+        if specs:
+            self._start_standin("spares", specs)
         ids = list(self.address_by_server)
         instances = {"kind": "instances", "port": instances_port, "ids": ids, "lag_s": 0.5}
         self._start_standin("platform", [{"kind": "table", "port": table_port}, instances])
@@ -237,9 +259,23 @@
             "instances": {"address": self.instances_address},
             "peers": {"public_key": public, "secret_key": secret, "seeds": seeds},
             "pools": [self._pool_settings(index) for index in range(len(self.deployment.pools))],
+            "spares": [self._spare_settings(n) for n in range(self.spares)],
+            **self.sections,
         }
         return _toml(document)
 
+    def _spare_settings(self, index: int) -> dict[str, Any]:
+        pool = self.deployment.pool("engine")
+        domains = self.deployment.failure_domains
+        id = f"spare-{index + 1}"
+        return {
+            "id": id,
+            "address": self.address_by_server[id],
+            "failure_domain": domains[index % len(domains)],
+            "window": pool.window,
+            "pools": [pool.name],
+        }
+
     def _pool_settings(self, index: int) -> dict[str, Any]:
         pool = self.deployment.pools[index]
         domains = self.deployment.failure_domains
--- /dev/null
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_orders.py
@@ -0,0 +1,72 @@
+"""Orders to engines by real processes: the wanted version, spares, and the audit trail."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from parsleyrudder import Range, Txn
+from parsleyrudder_standins.caller import Caller
+from parsleyrudder_standins.deployment import load_deployment
+from parsleyrudder_standins.launcher import Fleet, get_json
+
+LIMIT_S = 40.0
+
+
+def wait_until(condition):
+    until = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.1)
+
+
+def audit_targets(fleet):
+    rows = fleet.table().txn(Txn(reads=(Range("audit/", prefix=True),))).rows[0]
+    return [json.loads(row.value)["target"] for row in rows]
+
+
+@pytest.fixture
+def deployment():
+    """A small deployment: two engines per router pool, so that a spare matters."""
+    result = load_deployment("frio-nordeste")
+    pool = result.pool("engine")
+    pool.servers, pool.window = 2, 2
+    return result
+
+
+def test_engines_are_ordered_to_hold_the_wanted_version_and_it_is_audited(deployment):
+    """Guards against orders that nobody gives, that are given twice, or that are not recorded."""
+    orders = {"loads_per_minute": 600.0}
+    with Fleet(deployment, 2, pool_settings={"version": "2"}, sections={"orders": orders}) as fleet:
+        engines = [fleet.address_by_server[f"assistente-{n}"] for n in (1, 2)]
+
+        def versions():
+            loaded = [get_json(address, "/models")["loaded"] for address in engines]
+            return [item and item["version"] for item in loaded]
+
+        wait_until(lambda: versions() == ["2", "2"])
+        targets = audit_targets(fleet)
+    assert sorted(targets) == [f"assistente-{n} assistente/2/both fence 1" for n in (1, 2)]
+
+
+def test_spare_engine_joins_the_pool_whose_calls_wait(deployment):
+    """Guards against a spare that idles while calls wait, and one that serves before its load."""
+    orders = {"backlog_hold_s": 1.0, "spare_stay_s": 1.0, "loads_per_minute": 600.0}
+    with Fleet(deployment, 2, spares=1, sections={"orders": orders}) as fleet:
+        entry = [router.address for router in fleet.router_by_name.values()]
+        spare = fleet.address_by_server["spare-1"]
+
+        async def load():
+            caller = Caller("gas-aurora", entry)
+            tasks = [
+                caller.chat(f"c{n}", "assistente", f"p{n}", 400, exact=True, address=entry[n % 2])
+                for n in range(24)
+            ]
+            return await asyncio.gather(*tasks)
+
+        results = asyncio.run(load())
+        executed = get_json(spare, "/standin/counts")["executions"]
+        targets = audit_targets(fleet)
+    assert {result.outcome for result in results} == {"answered"}
+    assert executed
+    assert targets.index("spare-1 assistente loading") < targets.index("spare-1 assistente serving")
