Check the lease just before the first byte and read cache events

A call dispatched within its portion lease could be sent after it, when the process was paused or the connection took long. The HTTP client now asks just before the first byte whether the request may still be sent; if not, it ends unsent.

A retry went back to the server that had just failed whenever that server's slot was the only idle one, which is the rule under load. It now waits while another usable server is held, up to the call's deadline.

Engines' cache events are read in turn as hints for the choice of a server.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -30,6 +31,8 @@
 
     :ivar reuse: whether a connection that served another request may be used; it may turn out to
         be closed after the request was sent, so only a request that may be repeated allows it.
+    :ivar may_send: asked just before the first byte is sent; if it says no, the request fails
+        unsent.
     """
 
     method: str
@@ -37,6 +40,7 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     reuse: bool = False
+    may_send: Callable[[], bool] | None = None
 
 
 class ResponseListener(Protocol):
@@ -77,6 +81,11 @@
         self.sent = False
         self.timer: Timer | None = None
 
+    def may_send(self) -> bool:
+        """Whether the request may be sent, or go on being sent."""
+        may_send = self.request.may_send
+        return self.sent or may_send is None or may_send()
+
     def cancel(self) -> None:
         """Drop the connection; the listener hears nothing more."""
         self.listener = None
@@ -220,12 +229,16 @@
                 return
             connection.connected = True
             self._watch(connection, reading=True)
+        exchange = connection.exchange
+        if exchange is not None and not exchange.may_send():
+            self._on_lost(connection, "the request may not be sent any more")
+            return
         try:
             while connection.out:
                 data = connection.out.popleft()
                 count = sock.send(data)
-                if connection.exchange is not None and count:
-                    connection.exchange.sent = True
+                if exchange is not None and count:
+                    exchange.sent = True
                 if count < len(data):
                     connection.out.appendleft(data[count:])
                     return
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -121,6 +121,7 @@
     :ivar first_byte_s: time from the start of an attempt to the first byte of its answer.
     :ivar server_silence_s: time between two parts of an answer.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
+    :ivar cache_interval_s: time between two reads of an engine's cache events; 0 for none.
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
     """
 
@@ -138,6 +139,7 @@
     server_silence_s: float = 20.0
     interactive_reserve: float = 0.0
     load_interval_s: float = 1.0
+    cache_interval_s: float = 2.0
     orders_fenced: bool = True
     routes: tuple[RouteSettings, ...] = ()
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -29,6 +29,7 @@
 from parsleyrudder_adapters.settings import Settings
 from parsleyrudder_adapters.timers import Timers
 
+from .cache_task import CacheTask
 from .caller_api import CallerApi
 from .config_task import ConfigTask
 from .context import Context
@@ -116,6 +117,7 @@
         self.context.keys.start()
         for pool in self.pool_by_name.values():
             pool.start()
+            CacheTask(self.context, pool).start()
 
     @handler("stop_requested")
     def _on_stop_requested(self) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
@@ -94,6 +94,7 @@
         self._attempt = attempt
         self._last_server = server.id
         request = self.server_request(number)
+        request.may_send = self._may_send
         attempt.exchange = self.context.client.send(server.address, request, attempt)
         attempt.watch()
 
@@ -154,6 +155,8 @@
         )
         if isinstance(decision, Retry):
             self.context.metrics.count("retries", pool=self.pool.name)
+            # The limit of the first wait does not apply: the deadline bounds the wait for a retry.
+            self.waiting.queue_until = self.call.deadline
             self.pool.retry(self.waiting, server)
             return
         self.accrue(self.context.now())
@@ -171,6 +174,10 @@
         self.exchange.abort(discard=True)
         self.leave()
 
+    def _may_send(self) -> bool:
+        """Whether portion lease and deadline still hold, as the process may have been paused."""
+        return not self.pool.is_cut_off() and self.context.now() < self.call.deadline
+
     def _wait(self) -> None:
         refused = self.pool.submit(self.waiting, self)
         if refused is not None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from parsleyrudder import (
@@ -280,13 +280,24 @@
             self._pumping = False
         self._arm()
 
-    def _choose(self, call: WaitingCall, idle: object, now: float) -> str | None:
-        server = self.servers.choose(call.prompt, idle, now)  # type: ignore[arg-type]
+    def _choose(self, call: WaitingCall, idle: Mapping[str, int], now: float) -> str | None:
+        if call.excluded.issuperset(idle) and self._holds_other(call, now):
+            # Its last server's slot is often the only idle one; a retry there would fail again.
+            return None
+        server = self.servers.choose(call.prompt, idle, now)
         if server is not None:
             # Counted at once, so that the next choice of the same round sees it.
             self.servers.started(server)
         return server
 
+    def _holds_other(self, call: WaitingCall, now: float) -> bool:
+        """Whether a slot that is busy now will serve a call that failed at all idle ones."""
+        return any(
+            holding.held and self.servers.is_usable(holding.name, now)
+            for holding in self.scheduler.slots.holdings()
+            if holding.name not in call.excluded
+        )
+
     def _send_report(self) -> None:
         now = self._context.now()
         for user in list(self._user_by_call.values()):
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fault_plan.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fault_plan.py
@@ -35,7 +35,7 @@
 
     :param names: faults of one round; each round has all of them in a new order.
     :ivar caused: number of times that each fault was caused.
-    :ivar kills: address and monotonic time of each kill -9.
+    :ivar kills: address, begin and end of each kill -9 in monotonic time.
     :ivar timeline: begin of each fault, in monotonic time.
     :ivar problems: what went wrong with the routers themselves.
     """
@@ -45,7 +45,7 @@
         self._rng = rng
         self._names = names
         self.caused: Counter[str] = Counter()
-        self.kills: list[tuple[str, float]] = []
+        self.kills: list[tuple[str, float, float]] = []
         self.timeline: list[tuple[float, str]] = []
         self.problems: list[str] = []
 
@@ -102,9 +102,10 @@
 
     async def _kill(self, router: RouterProcess) -> None:
         assert router.process is not None
-        self.kills.append((router.address, time.monotonic()))
+        begun = time.monotonic()
         router.process.kill()
         await asyncio.to_thread(router.process.wait)
+        self.kills.append((router.address, begun, time.monotonic()))
         await asyncio.sleep(_DOWN_S)
         await self._restart(router)
 
