--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
@@ -3,9 +3,11 @@
 import heapq
 import itertools
 import random
+import time
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 from parsleyrudder import (
     KeyReplay,
@@ -17,6 +19,7 @@
     TxnResult,
 )
 from parsleyrudder_adapters.timers import Timer
+from parsleyrudder_daemon.key_sweep import KeySweep
 from parsleyrudder_daemon.key_task import KeyClaim, KeyTask
 from parsleyrudder_daemon.metrics import Metrics
 
@@ -80,21 +83,34 @@
                 rows[put.key] = Row(put.key, put.value, self.revision)
             for key in txn.deletes:
                 rows.pop(key, None)
-        reads = [[rows[read.key]] if read.key in rows else [] for read in txn.reads]
+        reads = [
+            [
+                rows[key]
+                for key in sorted(rows)
+                if key == read.key
+                or (read.prefix and key.startswith(read.key) and key > read.after)
+            ][: read.limit or None]
+            for read in txn.reads
+        ]
         return TxnResult(held, self.revision, reads)
 
     def router(self, name):
         """Return the key task of a router."""
+        return KeyTask(self.context(name))
+
+    def context(self, name):
+        """Return what the tasks of a router share."""
         view = SimpleNamespace(
             info=lambda name: RouterInfo(name, 1, "d", "", ""),
             live=lambda now: ["r1", "r2", "r3"],
+            staying=lambda now: ["r1", "r2", "r3"],
         )
         settings = SimpleNamespace(router=SimpleNamespace(key_ttl_s=3600.0, key_wait_s=1.0))
         context: Any = SimpleNamespace(
             name=name, incarnation=1, view=view, settings=settings, metrics=Metrics()
         )
         context.timers, context.table, context.now = self, self, lambda: self.time
-        return KeyTask(context)
+        return context
 
 
 def claim(task, path=PATH):
@@ -214,3 +230,19 @@
         assert repeat == [KeyReplay(200, "text/plain", b"x" * size)]
     else:
         assert repeat[0].kind.code == "result_lost"
+
+
+def test_one_router_removes_expired_rows_page_by_page():
+    """Rows that stay for ever would fill the table; rows removed early would let repeats run."""
+    world = World(0, fault_rate=0.0)
+    row = KeyRow(KeyState.DONE, "a", "r1", 1, "d", 0.0, expires_at=time.time() - 1.0)
+    lasting = msgspec.structs.replace(row, expires_at=time.time() + 3600.0)
+    for number in range(100):
+        path, value = f"keys/m/{number}", (lasting if number % 10 == 3 else row).encode()
+        world.rows[path] = Row(path, value, number + 1)
+    for name in ("r1", "r2", "r3"):
+        KeySweep(world.context(name)).start()
+    world.run(20.0)
+    assert sorted(world.rows) == sorted(f"keys/m/{number}" for number in range(3, 100, 10))
+    deletes = [key for txn in world.txns for key in txn.deletes]
+    assert len(deletes) == len(set(deletes)) == 90
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_delivery.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_delivery.py
@@ -129,6 +129,35 @@
     }
 
 
+def test_retry_under_load_goes_to_another_engine(fleet):
+    """The slot of the engine that failed is the only idle one while all others are busy."""
+    router = next(iter(fleet.router_by_name.values()))
+    failing = fleet.address_by_server["assistente-1"]
+    caller = Caller(MEMBER, [router.address])
+
+    async def load():
+        """Fill the pool, 40 slots, twice."""
+        ask = caller.chat
+        options = {"exact": True, "address": router.address}
+        calls = [ask(f"l-{n}", "assistente", f"load {n}", 20, **options) for n in range(80)]
+        return await asyncio.gather(*calls)
+
+    asyncio.run(load())
+    post_json(failing, "/standin/fault", {"mode": "fail"})
+    begun = router.log_path.stat().st_size
+    results = asyncio.run(load())
+    post_json(failing, "/standin/fault", {"mode": "up"})
+    fields = [
+        dict(item.partition("=")[::2] for item in line.split())
+        for line in router.log_path.read_text()[begun:].splitlines()
+        if "event=attempt_failed" in line
+    ]
+    failed = [(field["request"], field["server"]) for field in fields]
+    assert failed
+    assert len(set(failed)) == len(failed)
+    assert {result.outcome for result in results} <= {"answered", "unknown"}
+
+
 def test_stream_without_an_engine_left_ends_with_an_error_event(fleet, faults):
     faults("assistente", "end", after=2)
     results = [
