--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -174,6 +174,7 @@
     :ivar server_silence_s: time between two parts of an answer.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
     :ivar policy: how slots are shared; all but ``fair`` are baselines for measurements.
+    :ivar cache_interval_s: time between two reads of an engine's cache events; 0 for none.
     :ivar model: model that the engines should hold; the pool's name if empty.
     :ivar version: version of the model that they should hold.
     :ivar adapters: adapters that they should hold.
@@ -195,6 +196,7 @@
     interactive_reserve: _Fraction = 0.0
     policy: Literal["fair", "fifo", "local-fair", "static"] = "fair"
     load_interval_s: _Seconds = 1.0
+    cache_interval_s: _Amount = 2.0
     model: str = ""
     version: str = ""
     adapters: tuple[str, ...] = ()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -30,6 +30,7 @@
 from parsleyrudder_adapters.settings import Settings
 from parsleyrudder_adapters.timers import Timers
 
+from .cache_task import CacheTask
 from .caller_api import CallerApi
 from .config_task import ConfigTask
 from .context import Context
@@ -122,6 +123,7 @@
         self.context.keys.start()
         for pool in self.pool_by_name.values():
             pool.start()
+            CacheTask(self.context, pool).start()
         self.orders_task.start()
         self.spares_task.start()
 
