--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES := parsleyrudder parsleyrudder_adapters parsleyrudder_daemon parsleyctl parsleyrudder_standins
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo measure test check format
+.PHONY: demo fuzz measure test check format
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
 
+fuzz: $(VENV)/.installed
+	$(BIN)/python -m parsleyrudder_standins.fuzz --seconds=$(SECONDS) --seed=$(SEED)
+
 check: $(VENV)/.installed
 	$(BIN)/black --check -q packages
 	$(BIN)/ruff check -q packages
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -90,6 +90,8 @@
     :param expected: routers whose reports it waits for before it moves portions, at most
         ``rules.reclaim_s``: until then they may hold portions of the previous coordinator. In the
         meantime it renews what the reporting routers hold.
+    :param clean: whether the previous coordinator ended with no lost portions and none of its own;
+        then slots that no router reports are free, once all expected routers have reported.
     """
 
     name: str
@@ -98,6 +100,7 @@
     rules: PoolRules
     started_at: float
     expected: set[str] = field(default_factory=set)
+    clean: bool = False
     totals: ServiceTotals = field(default_factory=ServiceTotals)
     slots: Ledger = field(default_factory=Ledger)
     concurrency: Ledger = field(default_factory=Ledger)
@@ -211,6 +214,14 @@
         """Return the routers whose portions have not returned."""
         return set(self._routers)
 
+    def has_lost_slots(self) -> bool:
+        """Whether load reports could return slots."""
+        return any(self._lost_slots.total(server) for server in self._window_by_server)
+
+    def is_clean(self) -> bool:
+        """Whether no portion is lost, so that a successor need not wait for calls of the past."""
+        return self._ready and not self.has_lost_slots()
+
     def _is_new(self, report: Report) -> bool:
         """Whether a report is neither old nor repeated."""
         seen = self._seen.get(report.sender)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -197,7 +197,8 @@
         self.scheduler.slots.clear()
         self.scheduler.concurrency.clear()
         self._send_report()
-        txn = self.lease.resign()
+        clean = self.coordinator is not None and self.coordinator.is_clean()
+        txn = self.lease.resign(clean and not self.scheduler.running_total())
         if txn is not None:
             self._context.table.txn(txn, lambda result: None)
 
@@ -265,6 +266,7 @@
             ),
             started_at=now,
             expected=set(self.lease.previous_view),
+            clean=self.lease.previous_clean,
         )
         self._set_windows()
         self._set_members()
