--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -84,6 +84,7 @@
     :ivar finished_cost: cost of these calls.
     :ivar carried: what the previous coordinator said last; sent until a new one has answered.
     :ivar floor: lowest virtual time of the contending members, as the sender knows it.
+    :ivar granted_epoch: epoch of the last grant that the sender has applied; 0 for none.
     """
 
     pool: str
@@ -100,6 +101,7 @@
     concurrency: tuple[Holding, ...] = ()
     carried: tuple[Carried, ...] = ()
     floor: float = 0.0
+    granted_epoch: int = 0
 
 
 class MemberTotal(_Part, frozen=True):
--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -1,10 +1,11 @@
 """Division of serving capacity between members: costs, queues, portions, coordination."""
 
 from .authority import CoordinatorLease, LeaseRecord, LeaseRules, is_majority
-from .coordination import Coordinator, PoolRules
+from .coordination import Coordinator
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
 from .ordering import Claim, allocate, normalised_shares, split
+from .pool_rules import PoolRules
 from .portions import Ledger, LostPortions, Portion, Portions
 from .queueing import MemberQueue, WaitingCall
 from .scheduling import Choose, PoolScheduler, SchedulerRules
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -10,11 +10,12 @@
 
 from ..messages import Grant, Report
 from .ordering import split
+from .pool_rules import PoolRules
 from .portions import Ledger, LostPortions
 from .targets import Targets, compute_targets
 from .totals import ServiceTotals
 
-__all__ = ["Coordinator", "PoolRules"]
+__all__ = ["Coordinator"]
 
 _PUSH_GAP_S = 0.02
 _MEAN_RATE = 0.05
@@ -24,33 +25,6 @@
 _RECOMPUTE_SLACK = 0.9
 
 
-@dataclass(slots=True, frozen=True)
-class PoolRules:
-    """Settings of a pool that its coordinator needs.
-
-    :ivar portion_lease_s: time for which a router may use its portions after a report.
-    :ivar lease_margin: part of the lease that is waited in addition, for clocks that differ.
-    :ivar max_call_s: longest time that a call may run.
-    :ivar default_cost: expected cost of a call as long as none has finished.
-    :ivar largest_cost: largest cost that one call may have.
-    :ivar report_interval_s: time between two computations of the targets.
-    :ivar load_lag_s: age that a server's load report may have.
-    """
-
-    portion_lease_s: float = 5.0
-    lease_margin: float = 0.25
-    max_call_s: float = 120.0
-    default_cost: float = 100.0
-    largest_cost: float = 8000.0
-    report_interval_s: float = 0.1
-    load_lag_s: float = 2.0
-
-    @property
-    def reclaim_s(self) -> float:
-        """Time after a router's last report at which its portions return."""
-        return self.portion_lease_s * (1 + self.lease_margin)
-
-
 @dataclass(slots=True)
 class _Seen:
     """Numbers of a router that outlive its record, so that nothing old is taken for new."""
@@ -111,6 +85,7 @@
     _targets: Targets = field(default_factory=Targets)
     _computed_at: float = -math.inf
     _ready: bool = False
+    _veterans: set[str] = field(default_factory=set)
     _mean_cost: float = field(init=False)
 
     def __post_init__(self) -> None:
@@ -228,6 +203,8 @@
             self._limits_changed(set(), self._lost_concurrency.remove_router(name))
         seen.number = 1 + max(seen.number, report.grant if report.epoch == self.epoch else 0)
         self._routers[name] = _Router(seen, number=seen.number)
+        if report.granted_epoch:
+            self._veterans.add(name)
         self._computed_at = -math.inf
         return self._routers[name]
 
@@ -246,8 +223,10 @@
         if not self.is_ready(now):
             return False
         self._ready = True
-        missing = self.expected - self._routers.keys()
-        if missing:
+        # A router that has been started anew may have left calls at the servers, as a missing one.
+        # After a cold start of the whole fleet nothing is known of any, and all slots are free.
+        known = self.expected & self._veterans
+        if known and known != self.expected:
             free = self.slots.free_by_name()
             self._lost_slots.add("", free, now, now + self.rules.max_call_s)
             self._limits_changed(set(free), set())
--- a/packages/parsleyrudder/parsleyrudder/sharing/portions.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/portions.py
@@ -26,6 +26,11 @@
         """Most that the router may hold or use."""
         return max(self.held, self.used, self.granted)
 
+    @property
+    def claim(self) -> int:
+        """What the router holds or uses once it has applied the last grant."""
+        return max(self.used, self.granted)
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -41,7 +46,7 @@
     _entries: dict[str, dict[str, _Entry]] = field(default_factory=dict)
     _names_by_router: dict[str, set[str]] = field(default_factory=dict)
     _most_by_name: dict[str, int] = field(default_factory=dict)
-    _granted_by_name: dict[str, int] = field(default_factory=dict)
+    _claim_by_name: dict[str, int] = field(default_factory=dict)
     _granted_by_router: dict[str, int] = field(default_factory=dict)
     _free: set[str] = field(default_factory=set)
 
@@ -82,8 +87,8 @@
         return sum(entry.used for entry in self._entries.get(name, {}).values())
 
     def excess(self, name: str) -> int:
-        """Return by how much the grants of a resource exceed it, as after it has shrunk."""
-        return max(0, self._granted_by_name.get(name, 0) - self.limit_by_name.get(name, 0))
+        """Return by how much grants and running calls exceed a resource, as after it has shrunk."""
+        return max(0, self._claim_by_name.get(name, 0) - self.limit_by_name.get(name, 0))
 
     def held_by(self, router: str) -> dict[str, int]:
         """Return the most that a router may hold, by resource; zeros are left out."""
@@ -156,12 +161,12 @@
         """Change an entry and the sums that include it."""
         entries = self._entries.setdefault(name, {})
         entry = entries.setdefault(router, _Entry())
-        most, before = entry.most, entry.granted
+        most, claim, before = entry.most, entry.claim, entry.granted
         entry.held = entry.held if held is None else held
         entry.used = entry.used if used is None else used
         entry.granted = entry.granted if granted is None else granted
         _add(self._most_by_name, name, entry.most - most)
-        _add(self._granted_by_name, name, entry.granted - before)
+        _add(self._claim_by_name, name, entry.claim - claim)
         _add(self._granted_by_router, router, entry.granted - before)
         if entry.most:
             self._names_by_router.setdefault(router, set()).add(name)
--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -80,6 +80,7 @@
     _routers: int = 1
     _seq: int = 0
     _grant_number: int = 0
+    _granted_epoch: int = 0
     _reported_at: float = -math.inf
     _news: bool = False
     _urgent: bool = False
@@ -293,6 +294,7 @@
             concurrency=self.concurrency.holdings(),
             carried=self.order.carried(report_by_member),
             floor=self.order.floor,
+            granted_epoch=self._granted_epoch,
         )
 
     def on_grant(self, grant: Grant, now: float) -> bool:
@@ -308,7 +310,7 @@
             return False
         expires_at = sent.at + grant.lease_s
         if grant.number > self._grant_number:
-            self._grant_number = grant.number
+            self._grant_number, self._granted_epoch = grant.number, grant.epoch
             self.slots.apply(dict(grant.slots))
             self.concurrency.apply(dict(grant.concurrency))
         self.slots.renew(expires_at)
