Learn windows from load reports and let a majority confirm a new holder

LearnedWindows shrinks a window to what the engine runs when it queues, and grows it back by one slot at a time, with a doubling interval when growth brings the queue back. setting: window_min.

A promise now binds also when the table names another holder, and a report that says that the table is down renews it. A router that resigns leaves itself out of the view, so that the next coordinator does not wait for it.

--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -12,6 +12,7 @@
 from .targets import Targets, compute_targets
 from .totals import ServiceTotals
 from .waits import DrainRate, DurationEstimator
+from .windows import LearnedWindows, WindowRules
 
 __all__ = [
     "Choose",
@@ -20,6 +21,7 @@
     "CoordinatorLease",
     "CostEstimator",
     "CostModel",
+    "LearnedWindows",
     "LeaseRecord",
     "LeaseRules",
     "DrainRate",
@@ -37,6 +39,7 @@
     "Targets",
     "TokenBucket",
     "WaitingCall",
+    "WindowRules",
     "allocate",
     "compute_targets",
     "is_majority",
--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -64,7 +64,9 @@
     _asked_at: float = -math.inf
     _previous: LeaseRecord | None = None
     _promised_until: float = -math.inf
+    _promised: tuple[int, str] = (0, "")
     _promise_by_router: dict[str, float] = field(default_factory=dict)
+    _followers: set[str] = field(default_factory=set)
 
     @property
     def key(self) -> str:
@@ -89,35 +91,52 @@
         )
 
     def may_grant(self, now: float) -> bool:
-        """Whether this router may grant portions now."""
-        if not self.is_holder() or self.record is None:
+        """Whether this router may grant portions now.
+
+        A new holder needs reports that follow it from a majority of the previous view: routers
+        that have promised to stay with the previous holder send none.
+        """
+        if not self.is_holder() or self.record is None or not self._is_confirmed():
             return False
         if now < self._valid_until:
             return True
-        promised = {
-            name for name, at in self._promise_by_router.items() if now < at + self.rules.promise_s
-        }
+        # A promise binds from its sending on; the margin covers the time on the way.
+        length = self.rules.promise_s * (1 - self.rules.margin)
+        promised = {name for name, at in self._promise_by_router.items() if now < at + length}
         return is_majority(promised, self.record.view)
 
+    def on_follower(self, router: str, epoch: int) -> None:
+        """Take a report as a sign that its sender follows the coordinator of an epoch."""
+        if epoch == self.epoch:
+            self._followers.add(router)
+
     def on_promise(self, router: str, now: float) -> None:
         """Take a report that says that its sender does not reach the table, as a promise."""
         self._promise_by_router[router] = now
 
     def promise(self, now: float) -> None:
         """Bind this router to the holder that it reports to while the table is unreachable."""
-        self._promised_until = now + self.rules.promise_s
+        followed = self.followed(now)
+        if followed[1]:
+            self._promised, self._promised_until = followed, now + self.rules.promise_s
+
+    def followed(self, now: float) -> tuple[int, str]:
+        """Return epoch and name of the coordinator to report to; the name is empty for none."""
+        if now < self._promised_until:
+            return self._promised
+        return self.epoch, self.record.holder if self.record else ""
 
     def follow(self, epoch: int, holder: str, now: float) -> bool:
         """Hear of a coordinator by a message; return whether to report to it.
 
         A router that has promised follows nobody else until its promise has ended.
         """
+        if now < self._promised_until:
+            return (epoch, holder) == self._promised
         if epoch < self.epoch:
             return False
         if self.record is not None and holder == self.record.holder:
             return True
-        if now < self._promised_until:
-            return False
         if epoch > self.epoch:
             self.record = LeaseRecord(holder, 0, epoch, ())
             self._changed_at = now
@@ -141,12 +160,14 @@
     def resign(self) -> Txn | None:
         """Return the transaction that gives the lease up, or None if this router holds none.
 
-        The record stays, without a holder, so that the epoch keeps growing.
+        The record stays, without a holder, so that the epoch keeps growing. This router is left
+        out of its view, so that the next holder does not wait for it.
         """
         if not self.is_holder() or self.record is None:
             return None
         self._valid_until = -math.inf
-        record = LeaseRecord("", 0, self.record.epoch, self.record.view)
+        view = tuple(name for name in self.record.view if name != self.me)
+        record = LeaseRecord("", 0, self.record.epoch, view)
         put = Put(self.key, msgspec.json.encode(record))
         return Txn((Compare(self.key, self._revision),), (put,), (), (Range(self.key),))
 
@@ -167,10 +188,17 @@
         if self.record is None or record.epoch >= self.record.epoch:
             if self.record is None or record.epoch > self.record.epoch:
                 self._previous = self.record
+                self._followers.clear()
             self.record = record
         self._revision = rows[0].revision
         self._changed_at = now
 
+    def _is_confirmed(self) -> bool:
+        previous = self._previous
+        if previous is None or previous.holder in ("", self.me):
+            return True
+        return is_majority(self._followers | {self.me}, previous.view)
+
     def _has_lapsed(self, now: float) -> bool:
         if self.record is None or not self.record.holder:
             return True
--- /dev/null
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_windows.py
@@ -0,0 +1,78 @@
+"""Guards windows learned from load reports, and who may grant after a takeover."""
+
+import msgspec
+import pytest
+from parsleyrudder import CoordinatorLease, LearnedWindows, LeaseRecord, Row, TxnResult, WindowRules
+
+
+def learn(capacity: int, seconds: int, lag: int = 2) -> list[int]:
+    """Return the windows of an engine whose slots are always in use and whose reports lag."""
+    windows = LearnedWindows(WindowRules(least=2))
+    windows.set_servers({"s": 8})
+    history = [8]
+    for now in range(seconds):
+        load = history[max(0, len(history) - 1 - lag)]
+        windows.on_load("s", min(load, capacity), max(0, load - capacity), float(now))
+        history.append(windows.windows()["s"])
+    return history
+
+
+@pytest.mark.parametrize(("capacity", "least"), [(8, 8), (5, 5), (1, 2)])
+def test_window_finds_the_batch_size(capacity, least):
+    """Guards against a queue inside an engine, and against windows that shrink too far or swing."""
+    history = learn(capacity, 200)
+    assert min(history) == least
+    assert set(history[5:]) <= {least, least + 1}
+    above = sum(window > capacity for window in history[100:])
+    assert capacity < 2 or above <= 10
+
+
+def test_window_grows_back_when_the_engine_can_run_more():
+    """Guards against windows that stay small for ever after one slow spell."""
+    windows = LearnedWindows()
+    windows.set_servers({"s": 8, "t": 4})
+    assert windows.on_load("s", 3, 5, 0.0)
+    assert not windows.on_load("s", 3, 5, 1.0)  # left over from the larger window
+    assert windows.windows() == {"s": 3, "t": 4}
+    for now in range(2, 60):
+        windows.on_load("s", windows.windows()["s"], 0, float(now))
+    assert windows.windows() == {"s": 8, "t": 4}
+
+
+def take(lease: CoordinatorLease, candidate: bool, now: float, result: TxnResult) -> None:
+    txn = lease.next_txn(now, candidate, ("r1", "r2", "r3", "r4", "r5"))
+    assert txn is not None
+    lease.on_result(txn, result, now, now)
+
+
+def record_row(holder: str, epoch: int, revision: int, view: tuple[str, ...]) -> TxnResult:
+    value = msgspec.json.encode(LeaseRecord(holder, 1, epoch, view))
+    return TxnResult(True, revision, [[Row("coordinators/pool", value, revision)]])
+
+
+def test_new_holder_waits_for_a_majority_of_the_previous_view():
+    """Guards against two coordinators: the old one may go on by promises of its majority."""
+    view = ("r1", "r2", "r3", "r4", "r5")
+    lease = CoordinatorLease("pool", "r2", 1)
+    take(lease, False, 0.0, record_row("r1", 4, 10, view))
+    assert lease.followed(0.0) == (4, "r1")
+    take(lease, True, 5.0, record_row("r2", 5, 11, view))
+    lease.on_follower("r3", 4)
+    lease.on_follower("r2", 5)
+    assert not lease.may_grant(5.1)
+    lease.on_follower("r3", 5)
+    lease.on_follower("r4", 5)
+    assert lease.may_grant(5.2)
+
+
+def test_a_promise_holds_although_the_table_names_another():
+    """Guards against a router that follows the new holder while the old one counts on it."""
+    lease = CoordinatorLease("pool", "r3", 1)
+    view = ("r1", "r2", "r3")
+    take(lease, False, 0.0, record_row("r1", 4, 10, view))
+    lease.promise(1.0)
+    take(lease, False, 1.5, record_row("r2", 5, 11, view))
+    assert lease.followed(2.9) == (4, "r1")
+    assert lease.follow(4, "r1", 2.9)
+    assert not lease.follow(5, "r2", 2.9)
+    assert lease.followed(3.1) == (5, "r2")
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -115,6 +115,7 @@
     :ivar default_cost: expected cost of a call as long as nothing is known.
     :ivar largest_cost: largest cost that one call may have.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
+    :ivar window_min: smallest window that load reports may shrink a server's window to.
     :ivar orders_fenced: whether the engines refuse orders with an old fencing number.
     """
 
@@ -130,6 +131,7 @@
     max_call_s: float = 120.0
     interactive_reserve: float = 0.0
     load_interval_s: float = 1.0
+    window_min: int = 1
     orders_fenced: bool = True
     routes: tuple[RouteSettings, ...] = ()
 
@@ -208,6 +210,7 @@
         check(bool(pool.servers), f"{place}.servers", [], "name at least one server")
         reserve = pool.interactive_reserve
         check(0 <= reserve < 1, f"{place}.interactive_reserve", reserve, "use 0 up to below 1")
+        check(pool.window_min > 0, f"{place}.window_min", pool.window_min, "use a number above 0")
         for j, server in enumerate(pool.servers):
             addresses[f"{place}.servers[{j}].address"] = server.address
             field = f"{place}.servers[{j}].window"
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -33,6 +33,7 @@
 from .config_task import ConfigTask
 from .context import Context
 from .fleet_task import FleetTask
+from .load_task import LoadTask
 from .pool_task import PoolTask
 from .status import status_document
 
@@ -78,6 +79,7 @@
             self._send,
         )
         self.pool_by_name = {pool.name: PoolTask(self.context, pool) for pool in settings.pools}
+        self.load_task = LoadTask(self.context, self.pool_by_name.values())
         self.config_task = ConfigTask(self.context, self._on_config)
         rng = random.Random(f"{settings.router.name}:{self._incarnation}")
         self.fleet_task = FleetTask(
@@ -113,6 +115,7 @@
         self.fleet_task.start()
         for pool in self.pool_by_name.values():
             pool.start()
+        self.load_task.start()
 
     @handler("stop_requested")
     def _on_stop_requested(self) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -15,6 +15,7 @@
     CostModel,
     Failure,
     Grant,
+    LearnedWindows,
     PoolRules,
     PoolScheduler,
     Report,
@@ -26,6 +27,7 @@
     Txn,
     TxnResult,
     WaitingCall,
+    WindowRules,
     failure,
     normalised_shares,
     rendezvous,
@@ -84,6 +86,7 @@
         )
         self.lease = CoordinatorLease(settings.name, context.name, context.incarnation)
         self.coordinator: Coordinator | None = None
+        self._windows = LearnedWindows(WindowRules(settings.window_min))
         self._user_by_call: dict[str, PoolUser] = {}
         self._timer: Timer | None = None
         self._timer_at = 0.0
@@ -105,8 +108,9 @@
     def set_leaving(self, leaving: Iterable[str]) -> None:
         """Stop sending new work to the servers that are leaving."""
         self.servers.set_servers(self._all_servers, leaving)
+        self._windows.set_servers(self.servers.windows())
         if self.coordinator is not None:
-            self.coordinator.set_servers(self.servers.windows())
+            self.coordinator.set_servers(self._windows.windows())
 
     def submit(self, call: WaitingCall, user: PoolUser) -> Failure | None:
         """Let a call wait for a server; return why it is refused, or None."""
@@ -148,6 +152,7 @@
     def on_report(self, report: Report) -> None:
         """Take a router's report, if this router coordinates the pool."""
         now = self._context.now()
+        self.lease.on_follower(report.sender, report.epoch)
         if not report.table_up:
             self.lease.on_promise(report.sender, now)
         if self.coordinator is None or not self.lease.may_grant(now):
@@ -162,11 +167,19 @@
         if self.scheduler.on_grant(grant, now):
             self._pump()
 
-    def on_load(self, server: str, running: int) -> None:
+    def on_load(self, server: str, running: int, waiting: int) -> None:
         """Take a server's load report."""
-        self.servers.on_load(server, running)
-        if self.coordinator is not None:
-            self.coordinator.server_load(server, running, self._context.now())
+        now = self._context.now()
+        self.servers.on_load(server, running + waiting)
+        if self.coordinator is None:
+            return
+        self.coordinator.server_load(server, running + waiting, now)
+        if self._windows.on_load(server, running, waiting, now):
+            windows = self._windows.windows()
+            self.coordinator.set_servers(windows)
+            log_event(
+                _LOGGER, "window_changed", pool=self.name, server=server, window=windows[server]
+            )
 
     def is_cut_off(self) -> bool:
         """Whether portions were held and their lease has ended."""
@@ -199,8 +212,6 @@
         txn = None if self._stopping else self.lease.next_txn(now, self._is_candidate(view), view)
         if txn is not None:
             self._run_lease_txn(txn, now)
-        elif not self._context.table_health.up:
-            self.lease.promise(now)
 
     def _is_candidate(self, view: list[str]) -> bool:
         """Whether this router should hold the lease: the present holder, or the first by hash."""
@@ -244,7 +255,7 @@
             started_at=now,
             expected=set(self.lease.previous_view),
         )
-        self.coordinator.set_servers(self.servers.windows())
+        self.coordinator.set_servers(self._windows.windows())
         self._set_members()
         log_event(_LOGGER, "coordination_begun", pool=self.name, epoch=self.lease.epoch)
 
@@ -290,12 +301,15 @@
         now = self._context.now()
         for user in list(self._user_by_call.values()):
             user.accrue(now)
-        self.scheduler.follow(self.lease.epoch)
+        if not self._context.table_health.up:
+            self.lease.promise(now)
+        epoch, holder = self.lease.followed(now)
+        self.scheduler.follow(epoch)
         report = self.scheduler.report(now, self._context.table_health.up)
-        if self.lease.is_holder():
+        if holder == self._context.name and self.lease.is_holder():
             self.on_report(report)
-        elif self.lease.record is not None and self.lease.record.holder:
-            self._context.send(self.lease.record.holder, report)
+        elif holder:
+            self._context.send(holder, report)
 
     def _arm(self) -> None:
         delay = self.scheduler.next_report_in(self._context.now())
