--- a/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/__init__.py
@@ -2,16 +2,18 @@
 
 from .authority import CoordinatorLease, LeaseRecord, LeaseRules, is_majority
 from .baselines import POLICY_BY_NAME, SharingPolicy, divide_evenly
-from .coordination import Coordinator, PoolRules
+from .coordination import Coordinator
 from .costs import CostEstimator, CostModel
 from .limits import MemberLimits, TokenBucket
 from .ordering import Claim, allocate, normalised_shares, split
+from .pool_rules import PoolRules
 from .portions import Ledger, LostPortions, Portion, Portions
 from .queueing import MemberQueue, WaitingCall
 from .scheduling import Choose, PoolScheduler, SchedulerRules
 from .targets import Targets, compute_targets
 from .totals import ServiceTotals
 from .waits import DrainRate, DurationEstimator
+from .windows import LearnedWindows, WindowRules
 
 __all__ = [
     "POLICY_BY_NAME",
@@ -23,6 +25,7 @@
     "CostModel",
     "DrainRate",
     "DurationEstimator",
+    "LearnedWindows",
     "LeaseRecord",
     "LeaseRules",
     "Ledger",
@@ -39,6 +42,7 @@
     "Targets",
     "TokenBucket",
     "WaitingCall",
+    "WindowRules",
     "allocate",
     "compute_targets",
     "divide_evenly",
--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -90,7 +90,9 @@
     _acting_epoch: int = 0
     _followers: set[str] = field(default_factory=set)
     _heard_at: float = -math.inf
+    _heard_epoch: int = 0
     _promised_until: float = -math.inf
+    _promised_epoch: int = 0
     _granted_at: dict[str, deque[tuple[int, float]]] = field(default_factory=dict)
     _counted_until: dict[str, float] = field(default_factory=dict)
 
@@ -188,6 +190,7 @@
         the earlier sending of that grant, so delayed messages can't stretch its right.
         """
         self._promised_until = max(self._promised_until, self._heard_at + self.rules.bound_s)
+        self._promised_epoch = self._heard_epoch
 
     def may_follow(self, now: float) -> bool:
         """Whether no promise binds this router, so that its reports may support a new epoch."""
@@ -205,13 +208,13 @@
 
         A router that has promised follows nobody else until its promise has ended.
         """
-        if epoch < self.epoch or (epoch > self.epoch and now < self._promised_until):
+        if epoch < self.epoch or (now < self._promised_until and epoch != self._promised_epoch):
             return False
         if epoch > self.epoch:
             self.record = LeaseRecord(holder, 0, epoch, ())
         accepted = self.record is not None and self.record.holder == holder
         if accepted:
-            self._heard_at = now
+            self._heard_at, self._heard_epoch = now, epoch
         return accepted
 
     def next_txn(self, now: float, candidate: bool, view: Collection[str]) -> Txn | None:
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -10,11 +10,13 @@
 
 from ..messages import Grant, Report
 from .ordering import split
+from .pool_rules import PoolRules
 from .portions import Ledger, LostPortions
+from .server_loads import ServerLoads
 from .targets import Targets, compute_targets
 from .totals import ServiceTotals
 
-__all__ = ["Coordinator", "PoolRules"]
+__all__ = ["Coordinator"]
 
 _PUSH_GAP_S = 0.02
 _MEAN_RATE = 0.05
@@ -22,33 +24,8 @@
 # Reports come at the report interval with some jitter; without slack every second one would come
 # just before the targets are due.
 _RECOMPUTE_SLACK = 0.9
-
-
-@dataclass(slots=True, frozen=True)
-class PoolRules:
-    """Settings of a pool that its coordinator needs.
-
-    :ivar portion_lease_s: time for which a router may use its portions after a report.
-    :ivar lease_margin: part of the lease that is waited in addition, for clocks that differ.
-    :ivar max_call_s: longest time that a call may run.
-    :ivar default_cost: expected cost of a call as long as none has finished.
-    :ivar largest_cost: largest cost that one call may have.
-    :ivar report_interval_s: time between two computations of the targets.
-    :ivar load_lag_s: age that a server's load report may have.
-    """
-
-    portion_lease_s: float = 5.0
-    lease_margin: float = 0.25
-    max_call_s: float = 120.0
-    default_cost: float = 100.0
-    largest_cost: float = 8000.0
-    report_interval_s: float = 0.1
-    load_lag_s: float = 2.0
-
-    @property
-    def reclaim_s(self) -> float:
-        """Time after a router's last report at which its portions return."""
-        return self.portion_lease_s * (1 + self.lease_margin)
+# Reports of the calls that a load report counts come at most so many intervals after it.
+_SETTLE_INTERVALS = 5
 
 
 @dataclass(slots=True)
@@ -114,9 +91,13 @@
     _targets: Targets = field(default_factory=Targets)
     _computed_at: float = -math.inf
     _ready: bool = False
+    _veterans: set[str] = field(default_factory=set)
     _mean_cost: float = field(init=False)
+    _loads: ServerLoads = field(init=False)
 
     def __post_init__(self) -> None:
+        settle_s = _SETTLE_INTERVALS * self.rules.report_interval_s
+        self._loads = ServerLoads(self.rules.load_lag_s, settle_s)
         self.quantum = self.quantum or self.rules.default_cost
         self._mean_cost = self.quantum
 
@@ -142,11 +123,12 @@
     def server_load(self, server: str, running: int, now: float) -> None:
         """Take a server's load report: lost slots that it does not show as in use return.
 
+        It is judged some reports later, by :meth:`tick`.
+
         :param running: calls that the server runs or has queued.
         """
-        others = max(0, running - self.slots.used(server))
-        if self._lost_slots.limit(server, others, now - self.rules.load_lag_s):
-            self._limits_changed({server}, set())
+        if self._lost_slots.total(server):
+            self._loads.take(server, running, now)
 
     def is_ready(self, now: float) -> bool:
         """Whether the portions of all earlier grants are known or have ended."""
@@ -177,6 +159,8 @@
         if report.epoch == self.epoch:
             router.acknowledged = max(router.acknowledged, report.grant)
         acknowledged = router.acknowledged >= router.number and not joins
+        if self._lost_slots:
+            self._loads.note(name, report.slots, now)
         self.slots.reported(name, report.slots, acknowledged)
         self.concurrency.reported(name, report.concurrency, acknowledged)
         if joins:
@@ -205,6 +189,7 @@
         ]
         for name in gone:
             self._lose(name, now)
+        self._judge_loads(now)
         self._limits_changed(self._lost_slots.expire(now), self._lost_concurrency.expire(now))
         if not gone or not self._check_ready(now):
             return []
@@ -214,6 +199,14 @@
         """Return the routers whose portions have not returned."""
         return set(self._routers)
 
+    def _judge_loads(self, now: float) -> None:
+        heard_at = {name: router.received_at for name, router in self._routers.items()}
+        for server, others, lost_before in self._loads.settled(now, heard_at):
+            if self._lost_slots.limit(server, others, lost_before):
+                self._limits_changed({server}, set())
+        if not self._lost_slots:
+            self._loads.clear()
+
     def has_lost_slots(self) -> bool:
         """Whether load reports could return slots."""
         return any(self._lost_slots.total(server) for server in self._window_by_server)
@@ -243,6 +236,8 @@
             self._limits_changed(set(), self._lost_concurrency.remove_router(name))
         seen.number = 1 + max(seen.number, report.grant if report.epoch == self.epoch else 0)
         self._routers[name] = _Router(seen, number=seen.number)
+        if report.granted_epoch:
+            self._veterans.add(name)
         self._computed_at = -math.inf
         return self._routers[name]
 
@@ -261,8 +256,10 @@
         if not self.is_ready(now):
             return False
         self._ready = True
-        missing = self.expected - self._routers.keys()
-        if missing:
+        # A router that has been started anew may have left calls at the servers, as a missing one,
+        # and so may a router that the previous coordinator had lost.
+        known = self.clean and self.expected <= self._veterans
+        if self.expected and not known:
             free = self.slots.free_by_name()
             self._lost_slots.add("", free, now, now + self.rules.max_call_s)
             self._limits_changed(set(free), set())
--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -81,6 +81,7 @@
     _seq: int = 0
     _grant_number: int = 0
     _heard: int = 0
+    _granted_epoch: int = 0
     _reported_at: float = -math.inf
     _news: bool = False
     _urgent: bool = False
@@ -295,6 +296,7 @@
             concurrency=self.concurrency.holdings(),
             carried=self.order.carried(report_by_member),
             floor=self.order.floor,
+            granted_epoch=self._granted_epoch,
         )
 
     def on_grant(self, grant: Grant, now: float) -> bool:
@@ -310,7 +312,7 @@
             return False
         expires_at = sent.at + grant.lease_s
         if grant.number > self._grant_number:
-            self._grant_number = grant.number
+            self._grant_number, self._granted_epoch = grant.number, grant.epoch
             self.slots.apply(dict(grant.slots))
             self.concurrency.apply(dict(grant.concurrency))
         self._heard = max(self._heard, grant.answers)
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_takeover.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_takeover.py
@@ -8,7 +8,20 @@
 
 def report(sender, seq, held, used=0, grant=0, epoch=1, incarnation=1):
     slots = (pr.Holding("s", held, used),) if held or used else ()
-    return pr.Report("p", sender, incarnation, seq, epoch, grant, True, 0, 0.0, (), slots)
+    return pr.Report(
+        pool="p",
+        sender=sender,
+        incarnation=incarnation,
+        seq=seq,
+        epoch=epoch,
+        grant=grant,
+        heard=0,
+        table_up=True,
+        finished=0,
+        finished_cost=0.0,
+        slots=slots,
+        granted_epoch=1,
+    )
 
 
 def coordinator(expected=(), clean=False):
@@ -24,21 +37,35 @@
 def test_successor_counts_unknown_slots_as_used(expected, clean, free):
     """A router that died with the old coordinator may have left calls at the servers."""
     new = coordinator(expected, clean)
-    new.on_report(report("a", 1, 1), 1.0)
-    new.on_report(report("b", 1, 2), 1.0)
-    new.tick(7.0 if len(expected) > 2 else 1.1)
+    for seq, now in enumerate((1.0, 7.0), 1):
+        new.on_report(report("a", seq, 1), now)
+        new.on_report(report("b", seq, 2), now)
     assert new.slots.limit_by_name["s"] == 3 + free
-    new.server_load("s", 1)
+    new.server_load("s", 1, 10.0)
+    new.tick(11.0)
     assert new.slots.limit_by_name["s"] >= 5, "the load report shows all but one slot free"
 
 
-def test_load_report_does_not_deduct_calls_that_may_have_ended():
+@pytest.mark.parametrize(
+    ("used", "limit"),
+    [
+        ({0.0: 2, 1.0: 2, 10.4: 2}, 6),
+        # Both running calls may be those of a lost router, as the reporter's may have ended.
+        ({0.0: 2, 1.0: 2, 10.4: 0}, 4),
+        ({0.0: 0, 1.0: 0, 9.8: 2, 10.4: 2}, 4),
+        # A router that has fallen silent may have ended its calls.
+        ({0.0: 2, 1.0: 2, 9.8: 2}, 4),
+    ],
+)
+def test_load_report_deducts_only_calls_that_surely_ran(used, limit):
     new = coordinator("ab")
-    new.on_report(report("a", 1, 2, used=2), 1.0)
-    new.on_report(report("b", 1, 2), 1.0)
-    new.tick(1.1)
-    new.server_load("s", 2)
-    assert new.slots.limit_by_name["s"] == 4, "both running calls may be those of a lost router"
+    new.on_report(report("b", 1, 2), 0.0)
+    for seq, (now, count) in enumerate(used.items(), 1):
+        new.on_report(report("a", seq, 2, used=count), now)
+        new.on_report(report("b", seq + 1, 2), now)
+    new.server_load("s", 2, 10.0)
+    new.tick(10.6)
+    assert new.slots.limit_by_name["s"] == limit
 
 
 def test_returning_router_gets_higher_grant_numbers_and_its_lost_slots():
@@ -54,6 +81,7 @@
 def test_ended_lease_reports_no_idle_portions():
     """A router that comes back must not claim slots that others have got meanwhile."""
     scheduler = pr.PoolScheduler("b", 1, "p", pr.SchedulerRules(), pr.CostEstimator(1.0))
-    scheduler.slots.apply({"s": 3}, 5.0)
+    scheduler.slots.apply({"s": 3})
+    scheduler.slots.renew(5.0)
     assert scheduler.report(4.9, True).slots
     assert not scheduler.report(5.1, True).slots
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -174,6 +174,7 @@
     :ivar server_silence_s: time between two parts of an answer.
     :ivar interactive_reserve: part of the slots kept for interactive calls, 0 to 1.
     :ivar policy: how slots are shared; all but ``fair`` are baselines for measurements.
+    :ivar window_min: smallest window of an engine whose own queue is not empty.
     :ivar cache_interval_s: time between two reads of an engine's cache events; 0 for none.
     :ivar model: model that the engines should hold; the pool's name if empty.
     :ivar version: version of the model that they should hold.
@@ -196,6 +197,7 @@
     interactive_reserve: _Fraction = 0.0
     policy: Literal["fair", "fifo", "local-fair", "static"] = "fair"
     load_interval_s: _Seconds = 1.0
+    window_min: _Count = 1
     cache_interval_s: _Amount = 2.0
     model: str = ""
     version: str = ""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -36,6 +36,7 @@
 from .context import Context
 from .fleet_task import FleetTask
 from .key_task import KeyTask
+from .load_task import LoadTask
 from .orders_task import OrdersTask
 from .pool_task import PoolTask
 from .spares_task import SparesTask
@@ -87,6 +88,7 @@
         engines = HttpEngines(client)
         self.orders_task = OrdersTask(self.context, engines, self.pool_by_name.values())
         self.spares_task = SparesTask(self.context, engines, self.pool_by_name.values())
+        self.load_task = LoadTask(self.context, engines, self.pool_by_name.values())
         self.config_task = ConfigTask(self.context, self._on_config)
         rng = random.Random(f"{settings.router.name}:{self._incarnation}")
         self.fleet_task = FleetTask(
@@ -126,6 +128,7 @@
             CacheTask(self.context, pool).start()
         self.orders_task.start()
         self.spares_task.start()
+        self.load_task.start()
 
     @handler("stop_requested")
     def _on_stop_requested(self) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -16,6 +16,7 @@
     CostModel,
     Failure,
     Grant,
+    LearnedWindows,
     PoolRules,
     Report,
     RetryBudget,
@@ -26,6 +27,7 @@
     Txn,
     TxnResult,
     WaitingCall,
+    WindowRules,
     failure,
     normalised_shares,
     rendezvous,
@@ -88,6 +90,7 @@
         self.lease = CoordinatorLease(
             settings.name, context.name, context.incarnation, started_at=context.now()
         )
+        self._learned = LearnedWindows(WindowRules(settings.window_min))
         self._user_by_call: dict[str, PoolUser] = {}
         self._timer: Timer | None = None
         self._timer_at = 0.0
@@ -109,6 +112,7 @@
     def set_leaving(self, leaving: Iterable[str]) -> None:
         """Stop sending new work to the servers that are leaving."""
         self.servers.set_servers(self._all_servers, leaving)
+        self._learned.set_servers(self.servers.windows())
         self._set_windows()
 
     def set_spares(self, serving: frozenset[str]) -> None:
@@ -181,11 +185,17 @@
         if self.scheduler.on_grant(grant, now):
             self._pump()
 
-    def on_load(self, server: str, running: int) -> None:
+    def on_load(self, server: str, running: int, waiting: int) -> None:
         """Take a server's load report."""
-        self.servers.on_load(server, running)
-        if self.coordinator is not None:
-            self.coordinator.server_load(server, running, self._context.now())
+        now = self._context.now()
+        self.servers.on_load(server, running + waiting)
+        if self.coordinator is None:
+            return
+        self.coordinator.server_load(server, running + waiting, now)
+        if self._learned.on_load(server, running, waiting, now):
+            self._set_windows()
+            window = self._learned.windows()[server]
+            log_event(_LOGGER, "window_changed", pool=self.name, server=server, window=window)
 
     def is_cut_off(self) -> bool:
         """Whether portions were held and their lease has ended."""
@@ -277,7 +287,7 @@
 
     def _windows(self) -> dict[str, int]:
         """Return the windows of the servers that serve this pool now."""
-        windows = self.servers.windows()
+        windows = self._learned.windows()
         return {id: window for id, window in windows.items() if id not in self._idle_spares}
 
     def _set_windows(self) -> None:
