--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -31,7 +31,7 @@
 
 from .deployment import Deployment
 
-__all__ = ["Fleet", "RouterProcess", "free_ports", "get_json", "post_json"]
+__all__ = ["Fleet", "RouterProcess", "free_ports", "get_json", "post_json", "wait_listening"]
 
 _START_LIMIT_S = 20.0
 _STOP_LIMIT_S = 20.0
@@ -177,9 +177,9 @@
         instances = {"kind": "instances", "port": instances_port, "ids": ids, "lag_s": 0.5}
         self._start_standin("platform", [{"kind": "table", "port": table_port}, instances])
         for address in (self.table_address, self.instances_address):
-            _wait_listening(address)
+            wait_listening(address)
         for address in self.address_by_server.values():
-            _wait_listening(address)
+            wait_listening(address)
 
     def _start_standin(self, name: str, specs: list[dict[str, Any]]) -> None:
         path = self.folder / f"{name}.json"
@@ -281,7 +281,8 @@
         connection.close()
 
 
-def _wait_listening(address: str) -> None:
+def wait_listening(address: str) -> None:
+    """Wait until something listens on an address."""
     host, _, port = address.partition(":")
     until = time.monotonic() + _START_LIMIT_S
     while True:
