--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
@@ -74,6 +74,9 @@
         elif not is_valid_key(key):
             text = "Idempotency-Key must be 1 to 255 visible ASCII characters"
             self.refuse(failure("bad_request", text))
+        elif self.pool.is_cut_off():
+            # Known already, so the table need not be written twice for nothing.
+            self.refuse(self.pool.cut_off())
         else:
             path = key_path(self.waiting.member, key)
             digest = request_digest(request.method, request.target, request.body)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -111,7 +111,7 @@
     def submit(self, call: WaitingCall, user: PoolUser) -> Failure | None:
         """Let a call wait for a server; return why it is refused, or None."""
         if self.is_cut_off():
-            return failure("cut_off", "this router has lost contact with the fleet", 1.0)
+            return self.cut_off()
         refused = self.scheduler.submit(call, self._context.now())
         if refused is None:
             self._user_by_call[call.id] = user
@@ -172,6 +172,11 @@
         """Whether portions were held and their lease has ended."""
         return self.scheduler.is_cut_off(self._context.now())
 
+    @staticmethod
+    def cut_off() -> Failure:
+        """Return the refusal of calls while the router is cut off."""
+        return failure("cut_off", "this router has lost contact with the fleet", 1.0)
+
     def stop(self) -> None:
         """Give up portions and the lease; no call is left."""
         self._stopping = True
@@ -190,8 +195,7 @@
         for call, reason in self.scheduler.expire(now):
             self._refuse(call, reason, waiting=False)
         if self.is_cut_off():
-            reason = failure("cut_off", "this router has lost contact with the fleet", 1.0)
-            self.refuse_waiting(reason)
+            self.refuse_waiting(self.cut_off())
         self._pump()
 
     def _lease_step(self, now: float) -> None:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/caller.py
@@ -76,7 +76,7 @@
     ) -> CallResult:
         """Send a chat completion and read its stream.
 
-        :param options: ``address``, ``exact``, ``batch``, ``stream``.
+        :param options: ``address``, ``exact``, ``batch``, ``stream``, ``key`` (idempotency key).
         """
         body = {
             "model": pool,
@@ -86,6 +86,7 @@
             "messages": [{"role": "user", "content": prompt}],
         }
         headers = {"X-Class": "batch" if options.get("batch") else "interactive"}
+        headers |= {"Idempotency-Key": options["key"]} if options.get("key") else {}
         data = json.dumps(body).encode()
         address = options.get("address") or await self.address()
         return await self._exchange(address, "POST", "/v1/chat/completions", headers, data, id)
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/service.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/service.py
@@ -16,7 +16,8 @@
     ``POST /standin/fault`` with ``{"mode": ...}`` sets a fault: ``up``, ``hang``, ``fail`` (500),
     ``refuse`` (503, not run), ``cut`` (executes, then cuts the connection unanswered). A path
     ``/large/<bytes>`` is answered with a body of that size; the mode ``part`` cuts it half way. A
-    path ``/status/<code>`` is answered with that status and no body.
+    path ``/status/<code>`` is answered with that status and no body, ``/early`` with status 103
+    before the answer. With the mode ``foreign`` the answer says that it is of another request.
 
     :param call_s: time per call.
     """
@@ -70,10 +71,15 @@
             await reply.start(int(rest[0]), {"ETag": '"1"'})
             await reply.finish()
             return
+        if kind == "early":
+            await reply.inform(103)
         status = 500 if self._mode == "fail" else 200
         document = {"method": request.method, "path": request.path, "request_id": id}
         body = json.dumps(document).encode()
-        await reply.send(status, body, {"Content-Type": "application/json"})
+        headers = {"Content-Type": "application/json"}
+        if self._mode == "foreign":
+            headers["X-Request-Id"] = "another-request"
+        await reply.send(status, body, headers)
 
     async def _send_large(self, size: int, reply: Reply) -> None:
         """Answer in chunks, without a length."""
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_delivery.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_delivery.py
@@ -1,6 +1,7 @@
 """Guards single calls through a router process: answers of every form, and servers that fail."""
 
 import asyncio
+import json
 import socket
 import time
 
@@ -73,6 +74,8 @@
         ("refuse", "POST", "/c", 503, "not_run", "no_server", None),
         ("cut", "POST", "/d", 502, "unknown", "server_failed", None),
         ("hang", "POST", "/e", 502, "unknown", "server_failed", None),
+        ("foreign", "POST", "/g", 502, "unknown", "server_failed", None),
+        ("up", "GET", "/early", 200, "answered", "", None),
         ("up", "TRACE", "/f", 405, "not_run", "bad_method", None),
     ],
 )
@@ -94,6 +97,47 @@
     assert method == "GET" or executed <= 1
 
 
+@pytest.mark.parametrize(
+    ("mode", "path", "first", "repeat", "changed"),
+    [
+        ("up", "/k1", (200, ""), (200, ""), (422, "key_reused")),
+        ("fail", "/k2", (500, ""), (500, ""), (422, "key_reused")),
+        ("cut", "/k3", (502, "server_failed"), (502, "result_lost"), (422, "key_reused")),
+        ("refuse", "/k4", (503, "no_server"), (200, ""), (422, "key_reused")),
+        ("up", "/large/70000", (200, ""), (502, "result_lost"), (422, "key_reused")),
+    ],
+)
+def test_repeat_with_a_key_gets_the_first_result(fleet, faults, mode, path, first, repeat, changed):
+    def order(attempt, target):
+        key, id = f"key{path}", f"{path}-{attempt}"
+        result = call(fleet, "service", id, "POST", "pedidos", target, key=key)
+        return (result.status, result.code), result
+
+    faults("pedidos", mode)
+    assert order(1, path)[0] == first
+    faults("pedidos", "up")
+    while (told := order(2, path))[0] == (409, "still_running"):
+        time.sleep(0.02)
+    assert told[0] == repeat
+    replayed = "x-idempotent-replay" in told[1].headers
+    assert replayed == (repeat == first)
+    if replayed and first[0] == 200:
+        assert json.loads(told[1].body)["request_id"] == f"{path}-1"
+    assert order(3, path + "/changed")[0] == changed
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_completion_with_a_key_is_stored_and_runs_once(fleet, stream):
+    ids = [f"kept-{stream}-{number}" for number in (1, 2)]
+    options = {"key": f"kept-{stream}", "stream": stream, "exact": True}
+    results = [call(fleet, "chat", ids[0], "assistente", "keep", 5, **options)]
+    while not results[1:] or results[-1].status == 409:
+        results.append(call(fleet, "chat", ids[1], "assistente", "keep", 5, **options))
+    assert results[-1].body == results[0].body
+    assert results[-1].headers["content-type"] == results[0].headers["content-type"]
+    assert [sum(executions(fleet, id).values()) for id in ids] == [1, 0]
+
+
 def test_cut_of_a_large_answer_does_not_look_complete(fleet, faults):
     faults("pedidos", "part")
     result = call(fleet, "service", "part", "GET", "pedidos", f"/large/{LARGE}")
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
@@ -61,6 +61,10 @@
         event = h11.Response(status_code=status, headers=list(headers.items()))
         await self._emit(event)
 
+    async def inform(self, status: int) -> None:
+        """Send an interim answer (1xx), which precedes the head."""
+        await self._emit(h11.InformationalResponse(status_code=status, headers=[]))
+
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         await self._emit(h11.Data(data=data))
