Repeat keyed orders whose server failed in order_faults

A trial with a fault put in on purpose, a repeat that runs when the first call's result was lost, passed 1,500 orders unnoticed, as no caller repeated after server_failed.

--- a/packages/parsleyrudder_standins/parsleyrudder_standins/order_faults.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/order_faults.py
@@ -33,7 +33,7 @@
 _HANG_UP_RATE = 0.1
 _OPEN_CALLS = 300
 _CALL_LIMIT_S = 40.0
-_REPEATED_CODES = frozenset({"still_running", "table_down", ""})
+_REPEATED_CODES = frozenset({"server_failed", "still_running", "table_down", ""})
 _POOL_SETTINGS = {"first_byte_s": 1.5, "server_silence_s": 1.5, "max_call_s": 10.0}
 """Slots of a lost router return after ``max_call_s``, so a small one keeps the fleet serving."""
 _ROUTER_SETTINGS = {"default_deadline_s": 10.0, "stop_timeout_s": 15.0}
