--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_figures.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_figures.py
@@ -42,8 +42,9 @@
     """Fairness gap, in cost units per share.
 
     :ivar worst: largest over all samples.
-    :ivar p99: 99th percentile over the samples.
+    :ivar p99: 99th percentile over all samples and pairs of members.
     :ivar pair: the two members of the worst gap.
+    :ivar by_sample: largest over the pairs, by sample.
     """
 
     worst: float = 0.0
@@ -61,6 +62,7 @@
     :param share_by_member: the members to compare, with shares that average 1 over all members.
     """
     gaps = [0.0] * len(samples)
+    all_gaps = []
     worst, pair = 0.0, ("", "")
     for first, second in itertools.combinations(sorted(share_by_member), 2):
         lowest, highest = math.inf, -math.inf
@@ -74,9 +76,10 @@
             lowest, highest = min(lowest, difference), max(highest, difference)
             gap = max(difference - lowest, highest - difference)
             gaps[index] = max(gaps[index], gap)
+            all_gaps.append(gap)
             if gap > worst:
                 worst, pair = gap, (first, second)
-    return Gap(worst, percentile(gaps, 0.99), pair, tuple(gaps))
+    return Gap(worst, percentile(all_gaps, 0.99), pair, tuple(gaps))
 
 
 def _service(sample: Sample, member: str, share_by_member: Mapping[str, float]) -> float:
