Count no calls as waiting at a router that is paused

While a router is paused by SIGSTOP its calls can't be served, so they say nothing on fairness or on utilisation.

--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_faults.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_faults.py
@@ -30,11 +30,13 @@
     :ivar done: what was done, for the output.
     :ivar report_age_s: oldest report that a decision may rest on meanwhile; None for the usual.
     :ivar left_servers: servers that count no more for utilisation.
+    :ivar unreachable: indexes of the routers at which calls can't count as waiting.
     """
 
     done: str
     report_age_s: float | None
     left_servers: tuple[str, ...]
+    unreachable: set[int]
 
     async def begin(self, scene: FaultScene) -> None:
         """Inject the fault."""
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.done = "nothing"
         self.left_servers: tuple[str, ...] = ()
+        self.unreachable: set[int] = set()
 
     async def begin(self, scene: FaultScene) -> None:
         """See :class:`Fault`."""
@@ -95,11 +98,13 @@
     async def begin(self, scene: FaultScene) -> None:
         self._router = _plain_router(scene)
         self.done = f"SIGSTOP of {self._router.name}, later SIGCONT"
+        self.unreachable = {list(scene.fleet.router_by_name).index(self._router.name)}
         self._router.send_signal(signal.SIGSTOP)
 
     async def end(self, scene: FaultScene) -> dict[str, Any]:
         assert self._router is not None
         self._router.send_signal(signal.SIGCONT)
+        self.unreachable = set()
         return {"router": self._router.name}
 
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_load.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_load.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from .caller import Caller, CallResult
@@ -90,6 +90,7 @@
 
     :param addresses: address of each router, by index.
     :param batch_part: part of the calls that are batch calls.
+    :ivar outstanding: calls by member and router.
     """
 
     pool: str
@@ -98,7 +99,7 @@
     batch_part: float
     seed: int
     records: list[Record] = field(default_factory=list)
-    outstanding: Counter[str] = field(default_factory=Counter)
+    outstanding: Counter[tuple[str, int]] = field(default_factory=Counter)
     begun_at: float = 0.0
     _stopping: bool = False
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
@@ -127,6 +128,14 @@
         self._tasks += tasks
         return tasks
 
+    def outstanding_by_member(self, without: Collection[int]) -> dict[str, int]:
+        """Return the calls outstanding at all routers but some."""
+        totals: dict[str, int] = {}
+        for (member, router), count in self.outstanding.items():
+            if router not in without:
+                totals[member] = totals.get(member, 0) + count
+        return totals
+
     async def stop(self) -> int:
         """Begin no more calls, wait for those outstanding, and return how many were cancelled."""
         self._stopping = True
@@ -144,8 +153,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             while not self._stopping:
                 number += 1
-                address = self.addresses[routers[position % len(routers)]]
-                outcome = await self._call(caller, address, f"m{name}-{number}", rng)
+                router = routers[position % len(routers)]
+                outcome = await self._call(caller, router, f"m{name}-{number}", rng)
                 if outcome != "answered":
                     position += 1
                     # A member with one router tries any other one, as its callers would by
@@ -159,12 +168,13 @@
         rest = [index for index in range(len(self.addresses)) if index != routers[0]]
         return [*routers, *rest]
 
-    async def _call(self, caller: Caller, address: str, id: str, rng: random.Random) -> str:
+    async def _call(self, caller: Caller, router: int, id: str, rng: random.Random) -> str:
+        address = self.addresses[router]
         batch = rng.random() < self.batch_part
         tokens = draw_tokens(self.costs, rng)
         prompt = id.ljust(_PROMPT_CHARS, ".")
         begun_at = self.now
-        self.outstanding[caller.member] += 1
+        self.outstanding[caller.member, router] += 1
         result = CallResult(id, caller.member, code="caller_timeout")
         try:
             with contextlib.suppress(TimeoutError):
@@ -175,7 +185,7 @@
                     _CALL_LIMIT_S,
                 )
         finally:
-            self.outstanding[caller.member] -= 1
+            self.outstanding[caller.member, router] -= 1
         if result.outcome == "answered" and result.tokens != tokens:
             result.outcome, result.code = "lost", "wrong_length"
         self.records.append(
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
@@ -178,7 +178,7 @@
 
     async def _sample(self) -> Sample:
         names = [f"{self._pool.name}-{n + 1}" for n in range(self._pool.servers)]
-        outstanding = dict(self._load.outstanding)
+        outstanding = self._load.outstanding_by_member(self._result.fault.unreachable)
         at = self._load.now
         addresses = [self._fleet.address_by_server[name] for name in names]
         fetches = [asyncio.to_thread(get_json, a, "/standin/service") for a in addresses]
