Take over before portions end, and send nothing on an ended lease

A live run (4 routers, coordinator killed) took 7 s to elect the next coordinator, because the dead holder stayed the candidate until it left the view; all routers were cut off meanwhile (356 refusals). Routers also gave idle slots up that nobody could grant while no coordinator answered; they keep them now.

The lease was checked when a server was chosen, but the bytes leave later, perhaps after SIGSTOP and SIGCONT. The HTTP client now checks the request's validity just before the first byte.

--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -16,6 +16,9 @@
 __all__ = ["LEASE_PREFIX", "CoordinatorLease", "LeaseRecord", "LeaseRules", "is_majority"]
 
 LEASE_PREFIX = "coordinators/"
+# A lease that is overdue is read more often: the next holder, and the routers that have to follow
+# it, must learn of it before their portions end.
+_LATE_FACTOR = 0.25
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -142,18 +145,26 @@
             self._changed_at = now
         return self.record is not None and self.record.holder == holder
 
+    def has_lapsed(self, now: float) -> bool:
+        """Whether the lease of the newest record known has ended or belonged to this router."""
+        if self.record is None or self.record.holder in ("", self.me):
+            return True
+        return now >= self._changed_at + self.rules.lease_s * (1 + self.rules.margin)
+
     def next_txn(self, now: float, candidate: bool, view: Collection[str]) -> Txn | None:
         """Return the transaction that is due, or None.
 
         :param candidate: whether this router is the one that should coordinate the pool.
         :param view: routers of the fleet, this one included.
         """
-        if now < self._asked_at + self.rules.renew_s:
+        late = now >= self._changed_at + self.rules.lease_s
+        interval_s = self.rules.renew_s * (_LATE_FACTOR if late else 1.0)
+        if now < self._asked_at + interval_s:
             return None
         self._asked_at = now
         if self.is_holder() and candidate:
             return self._write(self.epoch, view)
-        if candidate and self._has_lapsed(now):
+        if candidate and self.has_lapsed(now):
             return self._write(self.epoch + 1, view)
         return Txn(reads=(Range(self.key),))
 
@@ -199,13 +210,6 @@
             return True
         return is_majority(self._followers | {self.me}, previous.view)
 
-    def _has_lapsed(self, now: float) -> bool:
-        if self.record is None or not self.record.holder:
-            return True
-        if self.record.holder == self.me:
-            return True
-        return now >= self._changed_at + self.rules.lease_s * (1 + self.rules.margin)
-
     def _write(self, epoch: int, view: Collection[str]) -> Txn:
         record = LeaseRecord(self.me, self.incarnation, epoch, tuple(sorted(view)))
         put = Put(self.key, msgspec.json.encode(record))
--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -26,6 +26,9 @@
 """Chooses a server for a call among those with idle slots, or None if none will do."""
 
 _KEPT_REPORTS = 100
+# Without a coordinator nobody can grant released slots to others, and a new one restores only what
+# the routers still hold.
+_SILENT_INTERVALS = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,6 +84,7 @@
     _seq: int = 0
     _grant_number: int = 0
     _granted_epoch: int = 0
+    _granted_at: float = -math.inf
     _reported_at: float = -math.inf
     _news: bool = False
     _urgent: bool = False
@@ -313,6 +317,7 @@
             self._grant_number, self._granted_epoch = grant.number, grant.epoch
             self.slots.apply(dict(grant.slots))
             self.concurrency.apply(dict(grant.concurrency))
+        self._granted_at = now
         self.slots.renew(expires_at)
         self.concurrency.renew(expires_at)
         self._routers = max(1, grant.routers)
@@ -329,6 +334,7 @@
         """Report to a coordinator with a higher epoch, which counts grants and totals anew."""
         if epoch > self.epoch:
             self.epoch, self._grant_number = epoch, 0
+            self.target = None
             self.order.begin_epoch()
             for limits in self._limits_by_member.values():
                 limits.begin_epoch()
@@ -367,7 +373,8 @@
 
     def _release_slots(self, now: float) -> None:
         """Give idle slots back that the target, or calls that wait elsewhere, claim."""
-        if self.target is None or now >= self.slots.expires_at:
+        silent = now >= self._granted_at + _SILENT_INTERVALS * self.rules.report_interval_s
+        if self.target is None or silent or now >= self.slots.expires_at:
             return
         surplus = self.slots.total_held() - self.target
         if self.contended and not self._backlog.waiting:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -6,7 +6,9 @@
 """
 
 import contextlib
+import math
 import socket
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -30,6 +32,9 @@
 
     :ivar reuse: whether a connection that served another request may be used; it may turn out to
         be closed after the request was sent, so only a request that may be repeated allows it.
+    :ivar valid_until: monotonic time from which on no first byte is sent, such as the end of the
+        lease of the slot that the request uses. It is checked at the sending, because the process
+        may have been stopped since the request was made.
     """
 
     method: str
@@ -37,6 +42,7 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     reuse: bool = False
+    valid_until: float = math.inf
 
 
 class ResponseListener(Protocol):
@@ -220,6 +226,9 @@
                 return
             connection.connected = True
             self._watch(connection, reading=True)
+        if not self._may_send(connection):
+            self._on_lost(connection, "no longer valid, nothing was sent")
+            return
         try:
             while connection.out:
                 data = connection.out.popleft()
@@ -237,6 +246,13 @@
             return
         self._watch(connection, writing=False)
 
+    @staticmethod
+    def _may_send(connection: _Connection) -> bool:
+        exchange = connection.exchange
+        if exchange is None or exchange.sent:
+            return True
+        return time.monotonic() < exchange.request.valid_until
+
     @handler("_read", priority=1)
     def _on_read(self, sock: socket.socket) -> None:
         connection = self._connection_by_sock.get(sock)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
@@ -75,6 +75,7 @@
         self._attempt = attempt
         self._last_server = server.id
         request = self.server_request(number)
+        request.valid_until = self.pool.scheduler.slots.expires_at
         attempt.exchange = self.context.client.send(server.address, request, attempt)
 
     def refuse(self, reason: Failure) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -209,15 +209,25 @@
 
     def _lease_step(self, now: float) -> None:
         view = self._context.view.staying(now)
-        txn = None if self._stopping else self.lease.next_txn(now, self._is_candidate(view), view)
+        txn = (
+            None
+            if self._stopping
+            else self.lease.next_txn(now, self._is_candidate(view, now), view)
+        )
         if txn is not None:
             self._run_lease_txn(txn, now)
 
-    def _is_candidate(self, view: list[str]) -> bool:
-        """Whether this router should hold the lease: the present holder, or the first by hash."""
+    def _is_candidate(self, view: list[str], now: float) -> bool:
+        """Whether this router should hold the lease: the present holder, or the first by hash.
+
+        A holder whose lease has lapsed is passed over before it leaves the view, because portions
+        end sooner than the view notices its silence.
+        """
         holder = self.lease.record.holder if self.lease.record else ""
-        first = holder if holder in view else next(iter(rendezvous(self.name, view)), "")
-        return first == self._context.name
+        if holder in view and (holder == self._context.name or not self.lease.has_lapsed(now)):
+            return holder == self._context.name
+        others = [name for name in view if name != holder]
+        return next(iter(rendezvous(self.name, others)), "") == self._context.name
 
     def _run_lease_txn(self, txn: Txn, sent_at: float) -> None:
         def done(result: TxnResult | TableError) -> None:
