Measure how decision costs grow

python -m parsleyrudder_standins.slopes measures time, bytes and memory of the sharing decisions against members, routers and servers, and gossip and the spread of a configuration against the fleet's size.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES := parsleyrudder parsleyrudder_adapters parsleyrudder_daemon parsleyctl parsleyrudder_standins
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo test check format
+.PHONY: demo test check format slopes
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -30,3 +30,6 @@
 format: $(VENV)/.installed
 	$(BIN)/black -q packages
 	$(BIN)/ruff check -q --fix packages
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m parsleyrudder_standins.slopes --seed=$(SEED)
