Keep one slot more than the part while calls wait, unless a router has none

Cause: every change of the targets moved slots, and a moved slot idles for a report and two latencies.

--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -84,6 +84,7 @@
     _seen: dict[str, _Seen] = field(default_factory=dict)
     _targets: Targets = field(default_factory=Targets)
     _computed_at: float = -math.inf
+    _dead_band: bool = False
     _ready: bool = False
     _veterans: set[str] = field(default_factory=set)
     _mean_cost: float = field(init=False)
@@ -263,8 +264,7 @@
 
     def _refresh_targets(self, now: float, at_once: bool) -> list[str]:
         """Compute the targets if they are due; return the routers that may need a push."""
-        due = now >= self._computed_at + _RECOMPUTE_SLACK * self.rules.report_interval_s
-        if due or at_once:
+        if at_once or now >= self._computed_at + _RECOMPUTE_SLACK * self.rules.report_interval_s:
             self._update_quantum(now)
             self._computed_at = now
             self._targets = compute_targets(
@@ -274,6 +274,7 @@
                 sum(self.slots.limit_by_name.values()),
                 self.quantum,
             )
+            self._dead_band = not self._is_any_starving()
             return list(self._targets.slots_by_router)
         if not self.slots.has_free():
             return []
@@ -290,8 +291,22 @@
         kept = math.exp(-elapsed / _QUANTUM_FADE_S) * self.quantum
         self.quantum = max(self._mean_cost, self.totals.longest_rest(), kept)
 
+    def _is_any_starving(self) -> bool:
+        """Whether calls wait at a router that holds no slot and should."""
+        part_by_router = self._targets.slots_by_router
+        waiting = [name for name, router in self._routers.items() if router.waits]
+        return any(part_by_router[name] and not self.slots.granted_total(name) for name in waiting)
+
     def _target(self, name: str) -> int:
-        return self._targets.slots_by_router.get(name, 0)
+        """Return the slots that a router should hold.
+
+        A router with waiting calls may keep one slot more than its part, which avoids needless
+        moves, unless another router has none.
+        """
+        target = self._targets.slots_by_router.get(name, 0)
+        if self._dead_band and self._routers[name].waits:
+            return max(target, min(target + 1, self.slots.granted_total(name)))
+        return target
 
     def _push(self, names: list[str], sender: str, now: float) -> list[tuple[str, Grant]]:
         """Return grants for the routers that should hear of a change before their next report."""
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/driver.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/driver.py
@@ -80,7 +80,7 @@
         self.served: dict[str, float] = defaultdict(float)
         self.samples: list[tuple[float, dict[str, float], set[str], float]] = []
         self.started: list[tuple[float, str, str]] = []
-        self.on_end: Callable[[WaitingCall, str], None] = lambda call, router: None
+        self.on_end: Callable[[WaitingCall, str], object] = lambda call, router: None
         self.old_windows: list[tuple[float, dict[str, int]]] = []
         self.costs: dict[str, float] = {}
         self.paused_calls: dict[str, list[WaitingCall]] = defaultdict(list)
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_fairness.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_fairness.py
@@ -150,6 +150,28 @@
     assert abs(grown["b"] / 1.5 - grown["a"] / 0.5) <= bound(50)
 
 
+@pytest.mark.parametrize(("cost", "seconds"), [(3, 6), (10, 10)])
+def test_short_calls_of_wandering_callers_use_all_slots(cost, seconds):
+    """Guards against slots that idle on their way between routers: calls of 30 ms and 100 ms."""
+    rng = random.Random(5)
+    cell = Cell(8, WINDOWS, {f"m{i}": 1 for i in range(6)})
+    cell.on_end = lambda call, router: cell.submit(rng.choice(ROUTERS), call.member, cost)
+    for index in range(180):
+        cell.submit(rng.choice(ROUTERS), f"m{index % 6}", cost)
+    cell.run(seconds)
+    assert cell.utilisation(since=1) >= 0.97
+    assert cell.gap(since=1) <= bound(cost)
+
+
+def test_no_member_starves_with_fewer_slots_than_routers():
+    """Guards against a dead band that leaves every slot where it is."""
+    cell = Cell(8, {"s": 3}, {f"m{i}": 1 for i in range(4)})
+    for index in range(4):
+        keep_backlogged(cell, f"m{index}", [ROUTERS[index]], 30, lambda: 30)
+    cell.run(30)
+    assert min(cell.served.get(f"m{i}", 0.0) for i in range(4)) >= 0.9 * 3 * RATE * 30 / 4
+
+
 def test_short_queue_beside_long_one_is_served():
     """Guards against a member's busy router that keeps all slots of the member."""
     cell = Cell(2, {"s": 4}, {"a": 1})
