--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 
 relay-cost: $(VENV)/.installed
 	$(BIN)/python -m parsleyrudder_standins.relay_cost
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m parsleyrudder_standins.slopes --seed=$(SEED)
--- a/packages/parsleyrudder/parsleyrudder/sharing/authority.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/authority.py
@@ -228,7 +228,7 @@
         self._asked_at = now
         if self.is_holder() and candidate:
             return self._renewal(view)
-        if candidate and self._stored_is_newest() and self._has_lapsed(now):
+        if candidate and self._stored_is_newest() and self.has_lapsed(now):
             stored = self._stored
             if stored is None or not stored.view:
                 return self._write(self.epoch + 1, tuple(sorted(view)))
@@ -290,7 +290,8 @@
         """Whether the record read last is the newest lease known, so that a write may follow it."""
         return self.record is None or self._stored == self.record
 
-    def _has_lapsed(self, now: float) -> bool:
+    def has_lapsed(self, now: float) -> bool:
+        """Whether the lease of the newest record known has ended or belonged to this router."""
         if self.record is None or not self.record.holder:
             return True
         if self.record.holder == self.me:
