--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
@@ -148,7 +148,9 @@
         headers = exchange.request.headers
         now = self._context.now()
         try:
-            default_s = self._context.settings.router.default_deadline_s
+            default_s = min(
+                self._context.settings.router.default_deadline_s, pool.settings.max_call_s
+            )
             deadline_s = float(headers.get("x-deadline-s", default_s))
             hint = float(headers["x-cost-hint"]) if "x-cost-hint" in headers else None
         except ValueError as error:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/deployment.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/deployment.py
@@ -16,6 +16,7 @@
     :ivar window: calls that a server may run at the same time.
     :ivar token_s: time per token of an engine.
     :ivar call_s: time per call of a plain service.
+    :ivar max_call_s: longest time that a call may take.
     """
 
     name: str
@@ -25,6 +26,7 @@
     token_s: float = 0.01
     call_s: float = 0.03
     interactive_reserve: float = 0.0
+    max_call_s: float = 120.0
 
 
 class _Document(msgspec.Struct, forbid_unknown_fields=True):
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -292,6 +292,7 @@
             "name": pool.name,
             "kind": pool.kind,
             "interactive_reserve": pool.interactive_reserve,
+            "max_call_s": pool.max_call_s,
             "servers": servers,
             **self.pool_settings,
         }
