Bound gossip and take table rows as hints

A gossip message named every live router and a reply carried the information of all of them, about 100 KB at 1,200 routers. A message now names the sender and 15 routers, chosen freely from those with the newest heartbeats, and information is sent only to a peer that lacks it.

Rows of dead routers brought them into the view of every reader. A row now only introduces its router until its heartbeat moves, by the reader's own clock, and list readers remove rows that have not moved for 60 s. The incarnation grows even if the wall clock was set back. Leaving servers travel with gossip, with the age of the news, so that routers can't keep a cancelled drain alive by telling each other. A new configuration and a newly leaving server are gossiped at once.

--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -175,7 +175,10 @@
     :ivar table_up: whether the sender reaches the table service.
     :ivar reply: whether the receiver should answer with its own gossip.
     :ivar routers: full information, for routers that the receiver may not know.
-    :ivar leaving_servers: ids of servers known to be leaving.
+    :ivar states: a part of the sender's view, with the sender first.
+    :ivar leaving_servers: ids of servers that are leaving, each with the seconds since a router
+        read it from the instance list or the table.
+    :ivar wants_info: whether the sender has heard of routers whose information it lacks.
     """
 
     sender: str
@@ -184,7 +187,8 @@
     reply: bool
     states: tuple[RouterState, ...]
     routers: tuple[RouterInfo, ...] = ()
-    leaving_servers: tuple[str, ...] = ()
+    leaving_servers: tuple[tuple[str, float], ...] = ()
+    wants_info: bool = False
 
 
 class ConfigRequest(_Message, frozen=True):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import time
 
 from circuits.core import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
@@ -32,7 +31,7 @@
 from .caller_api import CallerApi
 from .config_task import ConfigTask
 from .context import Context
-from .fleet_task import FleetTask
+from .fleet_task import FleetTask, first_incarnation
 from .pool_task import PoolTask
 from .status import status_document
 
@@ -62,7 +61,7 @@
         super().__init__()
         EPoll().register(self)
         self.settings = settings
-        self._incarnation = int(time.time() * 1000)
+        self._incarnation = first_incarnation(settings)
         self._stopping_at: float | None = None
         self._refusing = False
         timers = Timers().register(self)
@@ -166,6 +165,7 @@
         if isinstance(message, Gossip):
             self.fleet_task.on_gossip(message)
         elif isinstance(message, Report):
+            self.context.view.heard_from(message.sender, message.incarnation, self.context.now())
             self._pool(message.pool, lambda pool: pool.on_report(message))
         elif isinstance(message, Grant):
             self._pool(message.pool, lambda pool: pool.on_grant(message))
@@ -188,6 +188,7 @@
         for pool in self.pool_by_name.values():
             pool.config_changed()
         self._api.config_changed()
+        self.fleet_task.gossip_now()
 
     def _on_leaving(self, servers: frozenset[str]) -> None:
         for pool in self.pool_by_name.values():
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
@@ -2,21 +2,39 @@
 
 import logging
 import random
+import time
 from collections.abc import Callable
 
 import msgspec
-from parsleyrudder import Gossip, Put, Range, RouterInfo, TableError, Txn, TxnResult
+from parsleyrudder import (
+    Compare,
+    Gossip,
+    Put,
+    Range,
+    RouterInfo,
+    RowWatcher,
+    TableError,
+    Txn,
+    TxnResult,
+    next_incarnation,
+    rendezvous,
+)
+from parsleyrudder_adapters.etcd import BlockingEtcdTable
 from parsleyrudder_adapters.http_client import HttpRequest
 from parsleyrudder_adapters.logs import log_event
+from parsleyrudder_adapters.settings import Settings
 
 from .context import Context
 
-__all__ = ["FleetTask"]
+__all__ = ["FleetTask", "first_incarnation"]
 
 _LOGGER = logging.getLogger(__name__)
 _ROUTERS = "routers/"
 _DRAINS = "drain/"
 _HEARTBEAT_S = 5.0
+_READERS = 2
+_START_READ_S = 1.0
+_SMALL_FLEET = 64
 
 
 class _Registration(msgspec.Struct):
@@ -34,6 +52,22 @@
     state: str
 
 
+def first_incarnation(settings: Settings) -> int:
+    """Return the incarnation of this start, from the wall clock and the row of the last start.
+
+    While the table is down the wall clock alone decides.
+    """
+    txn = Txn(reads=(Range(_ROUTERS + settings.router.name),))
+    before = 0
+    try:
+        rows = BlockingEtcdTable(settings.table.address, _START_READ_S).txn(txn).rows[0]
+        if rows:
+            before = msgspec.json.decode(rows[0].value, type=_Registration).info.incarnation
+    except (TableError, msgspec.DecodeError) as error:
+        log_event(_LOGGER, "row_unknown", logging.WARNING, reason=error)
+    return next_incarnation(time.time(), before)
+
+
 class FleetTask:
     """Owner of this router's membership.
 
@@ -53,8 +87,12 @@
         self._on_version = on_version
         self._on_leaving = on_leaving
         self._heartbeat = 0
+        self._outlived = False
         self._listed: frozenset[str] = frozenset()
         self._drained: frozenset[str] = frozenset()
+        self._rows = RowWatcher()
+        self._revision_by_name: dict[str, int] = {}
+        context.view.rng = rng
         self._announced: frozenset[str] = frozenset()
 
     def start(self) -> None:
@@ -62,7 +100,7 @@
         context = self._context
         for seed in context.settings.peers.seeds:
             info = RouterInfo(seed.name, 0, "", seed.address, seed.caller_url)
-            context.view.learn(info, 0, False, context.now())
+            context.view.introduce(info, False, context.now())
         context.timers.every(_HEARTBEAT_S, self.write_heartbeat)
         context.timers.every(context.settings.peers.gossip_interval_s, self._gossip)
         context.timers.every(context.settings.instances.interval_s, self._read_instances)
@@ -71,15 +109,22 @@
 
     def leaving(self) -> frozenset[str]:
         """Return the ids of the servers that are leaving."""
-        return self._listed | self._drained
+        heard = self._context.view.leaving_servers(self._context.now())
+        return self._listed | self._drained | heard.keys()
 
     def write_heartbeat(self) -> None:
-        """Write this router's row and read the others'."""
+        """Write this router's row and read the others', in a large fleet by the list readers only.
+
+        1,200 rows take about 150 KB, which every router could not read within 3 KB/s.
+        """
         context = self._context
         self._heartbeat += 1
         row = _Registration(context.view.me, self._heartbeat, context.view.leaving)
         put = Put(_ROUTERS + context.name, msgspec.json.encode(row))
-        reads = (Range(_ROUTERS, prefix=True), Range(_DRAINS, prefix=True))
+        reads: tuple[Range, ...] = (Range(_ROUTERS, prefix=True), Range(_DRAINS, prefix=True))
+        small = len(context.view.peers(context.now())) < _SMALL_FLEET
+        if not small and not self._is_reader():
+            reads = ()
         context.table.txn(Txn((), (put,), (), reads), self._on_rows)
 
     def say_goodbye(self) -> None:
@@ -98,21 +143,30 @@
         """Take a peer's gossip."""
         context = self._context
         now = context.now()
-        lacking = context.view.on_gossip(gossip, now)
+        context.view.on_gossip(gossip, now)
+        self._announce()
+        if context.view.outlived and not self._outlived:
+            self._outlived = True
+            log_event(_LOGGER, "incarnation_outlived", logging.ERROR, remedy="restart this router")
         self._on_version(gossip.sender, gossip.version)
         if gossip.reply:
-            self._send_gossip(gossip.sender, reply=lacking, full=True)
+            self._send_gossip(gossip.sender, reply=False, full=gossip.wants_info)
+
+    def gossip_now(self) -> None:
+        """Gossip before the next round, because there is news that should spread fast."""
+        self._gossip()
 
     def _gossip(self) -> None:
         context = self._context
+        self._announce()
         count = context.settings.peers.gossip_fan_out
-        for info in context.view.pick_peers(count, self._rng, context.now()):
+        for info in context.view.pick_peers(count, self._rng):
             self._send_gossip(info.name, reply=True)
 
     def _send_gossip(self, name: str, reply: bool, full: bool = False) -> None:
         context = self._context
         gossip = context.view.gossip(
-            context.config.version, context.table_health.up, reply, context.now(), (), full
+            context.config.version, context.table_health.up, reply, context.now(), full
         )
         context.send(name, gossip)
 
@@ -121,16 +175,42 @@
         context.table_health.note(not isinstance(result, TableError))
         if isinstance(result, TableError) or len(result.rows) < 2:
             return
+        now = context.now()
         for row in result.rows[0]:
             registration = msgspec.json.decode(row.value, type=_Registration)
-            # Heartbeats in the table and in gossip are counted apart; a row only introduces.
+            # A row may be that of a dead router, so it only introduces until its heartbeat moves.
+            # Heartbeats in the table and in gossip are counted apart.
             info = registration.info
-            known = context.view.info(info.name)
-            if known is None or known.incarnation < info.incarnation:
-                context.view.learn(info, 0, registration.leaving, context.now())
+            context.view.introduce(info, registration.leaving, now)
+            alive_at = self._rows.on_row(info.name, info.incarnation, registration.heartbeat, now)
+            if alive_at is not None:
+                context.view.heard_from(info.name, info.incarnation, alive_at)
+            self._revision_by_name[info.name] = row.revision
+        names = {row.key.removeprefix(_ROUTERS) for row in result.rows[0]}
+        self._rows.end_read(names, now)
+        self._revision_by_name = {n: r for n, r in self._revision_by_name.items() if n in names}
+        self._remove_stale_rows()
         self._drained = frozenset(row.key.removeprefix(_DRAINS) for row in result.rows[1])
+        context.view.note_leaving_servers(self._drained, now)
         self._announce()
 
+    def _is_reader(self) -> bool:
+        view = self._context.view
+        readers = rendezvous("list-readers", view.staying(self._context.now()))[:_READERS]
+        return self._context.name in readers
+
+    def _remove_stale_rows(self) -> None:
+        """Remove rows of dead routers, if this router is a list reader."""
+        if not self._is_reader():
+            return
+        for name in self._rows.stale(self._context.now()):
+            if name == self._context.name:
+                continue
+            key = _ROUTERS + name
+            unchanged = Compare(key, self._revision_by_name[name])
+            log_event(_LOGGER, "row_removed", router=name)
+            self._context.table.txn(Txn((unchanged,), (), (key,)), lambda result: None)
+
     def _read_instances(self) -> None:
         address = self._context.settings.instances.address
         request = HttpRequest("GET", "/instances", reuse=True)
@@ -141,6 +221,7 @@
         for name in leaving:
             self._context.view.mark_leaving(name)
         self._listed = leaving
+        self._context.view.note_leaving_servers(leaving, self._context.now())
         self._announce()
 
     def _announce(self) -> None:
@@ -149,6 +230,7 @@
             self._announced = leaving
             log_event(_LOGGER, "servers_leaving", servers=",".join(sorted(leaving)))
             self._on_leaving(leaving)
+            self._gossip()
 
 
 class _InstancesListener:
