--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import time
 
 from circuits.core import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
@@ -34,7 +33,7 @@
 from .caller_api import CallerApi
 from .config_task import ConfigTask
 from .context import Context
-from .fleet_task import FleetTask
+from .fleet_task import FleetTask, first_incarnation
 from .key_task import KeyTask
 from .load_task import LoadTask
 from .orders_task import OrdersTask
@@ -68,7 +67,7 @@
         super().__init__()
         EPoll().register(self)
         self.settings = settings
-        self._incarnation = int(time.time() * 1000)
+        self._incarnation = first_incarnation(settings)
         self._stopping_at: float | None = None
         self._refusing = False
         timers = Timers().register(self)
@@ -185,6 +184,7 @@
         if isinstance(message, Gossip):
             self.fleet_task.on_gossip(message)
         elif isinstance(message, Report):
+            self.context.view.heard_from(message.sender, message.incarnation, self.context.now())
             self._pool(message.pool, lambda pool: pool.on_report(message))
         elif isinstance(message, Grant):
             self._pool(message.pool, lambda pool: pool.on_grant(message))
@@ -207,6 +207,7 @@
         for pool in self.pool_by_name.values():
             pool.config_changed()
         self._api.config_changed()
+        self.fleet_task.gossip_now()
 
     def _on_leaving(self, servers: frozenset[str]) -> None:
         for pool in self.pool_by_name.values():
