Call the owners of ready sockets directly and write to idle connections at once

Cause: each ready socket cost a circuits event, each change of what is watched a search through lists and two system calls; the HTTP client walked the whole tree of components for its poller on each use, and sent requests on open connections by way of the poller.

Change: LoopPoller replaces circuits' EPoll and calls on_readable and on_writable of the sockets' owners; the client looks its poller up once and writes at once when connected.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_sockets.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_sockets.py
@@ -165,6 +165,10 @@
 
     @handler("_read", priority=1)
     def _on_read(self, sock: socket.socket) -> None:
+        self.on_readable(sock)
+
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read what has come; called by the poller."""
         link = self._link_by_sock.get(sock)
         if link is None or not link.reading:
             return
@@ -187,6 +191,10 @@
 
     @handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
+        self.on_writable(sock)
+
+    def on_writable(self, sock: socket.socket) -> None:
+        """Send what waits; called by the poller."""
         link = self._link_by_sock.get(sock)
         if link is None or link.broken:
             return
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -9,14 +9,13 @@
 import ipaddress
 import socket
 from collections import deque
-from dataclasses import dataclass, field
-from typing import Protocol
 
 import h11
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 
+from .http_messages import HttpRequest, ResponseListener, request_bytes
 from .timers import Timer, Timers
 
 __all__ = ["Exchange", "HttpClient", "HttpRequest", "ResponseListener"]
@@ -25,44 +24,6 @@
 _IDLE_CONNECTIONS = 8
 
 
-@dataclass(slots=True)
-class HttpRequest:
-    """A request to send.
-
-    :ivar reuse: whether a connection that served another request may be used; it may turn out to
-        be closed after the request was sent, so only a request that may be repeated allows it.
-    """
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
-    reuse: bool = False
-
-
-class ResponseListener(Protocol):
-    """Receiver of one answer; after ``on_end`` or ``on_failed`` it hears nothing more."""
-
-    def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Receive status and headers."""
-        ...
-
-    def on_data(self, data: bytes) -> None:
-        """Receive a part of the body."""
-        ...
-
-    def on_end(self) -> None:
-        """Receive the end of a whole answer."""
-        ...
-
-    def on_failed(self, sent: bool, reason: str) -> None:
-        """Receive the failure of the request.
-
-        :param sent: whether a byte of the request may have reached the server.
-        """
-        ...
-
-
 class Exchange:
     """One request and its answer."""
 
@@ -130,10 +91,14 @@
         self._connect_timeout_s = connect_timeout_s
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
         self._idle: dict[str, list[_Connection]] = {}
+        self._found_poller: BasePoller | None = None
 
     @property
     def _poller(self) -> BasePoller:
-        return findcmp(self.root, BasePoller)
+        # Looked up once: the search walks the whole tree of components.
+        if self._found_poller is None:
+            self._found_poller = findcmp(self.root, BasePoller)
+        return self._found_poller
 
     def send(
         self,
@@ -152,7 +117,7 @@
         try:
             if connection is None:
                 connection = self._connect(address)
-            data = _request_bytes(connection.parser, address, request)
+            data = request_bytes(connection.parser, address, request)
         except (OSError, ValueError, h11.LocalProtocolError) as error:
             if connection is not None:
                 self._close(connection)
@@ -170,7 +135,10 @@
         if timeout_s is not None:
             exchange.timer = self._timers.after(timeout_s, lambda: self._fail(exchange, "timeout"))
         connection.out.append(data)
-        self._watch(connection, writing=True)
+        if connection.connected:
+            self._flush(connection)
+        else:
+            self._watch(connection, writing=True)
         return exchange
 
     def drop(self, exchange: Exchange) -> None:
@@ -244,6 +212,10 @@
 
     @handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
+        self.on_writable(sock)
+
+    def on_writable(self, sock: socket.socket) -> None:
+        """Send what waits; called by the poller."""
         connection = self._connection_by_sock.get(sock)
         if connection is None:
             return
@@ -256,17 +228,23 @@
             if connection.timer is not None:
                 connection.timer.cancel()
             self._watch(connection, reading=True)
+        self._flush(connection)
+
+    def _flush(self, connection: _Connection) -> None:
+        """Send what is queued, as far as the kernel takes it; failures show on reading."""
         try:
             while connection.out:
                 data = connection.out.popleft()
-                count = sock.send(data)
+                count = connection.sock.send(data)
                 if connection.exchange is not None and count:
                     connection.exchange.sent = True
                 if count < len(data):
                     connection.out.appendleft(data[count:])
+                    self._watch(connection, writing=True)
                     return
         except BlockingIOError:
             connection.out.appendleft(data)
+            self._watch(connection, writing=True)
             return
         except OSError:
             # The server may have answered before it closed; reading tells.
@@ -276,6 +254,10 @@
 
     @handler("_read", priority=1)
     def _on_read(self, sock: socket.socket) -> None:
+        self.on_readable(sock)
+
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read what has come; called by the poller."""
         connection = self._connection_by_sock.get(sock)
         if connection is None or not connection.reading:
             return
@@ -370,15 +352,3 @@
         self._poller.discard(connection.sock)
         with contextlib.suppress(OSError):
             connection.sock.close()
-
-
-def _request_bytes(parser: h11.Connection, address: str, request: HttpRequest) -> bytes:
-    headers = [("Host", address), *request.headers]
-    if request.body or request.method in ("POST", "PUT", "PATCH"):
-        headers.append(("Content-Length", str(len(request.body))))
-    event = h11.Request(method=request.method, target=request.target, headers=headers)
-    parts = [parser.send(event)]
-    if request.body:
-        parts.append(parser.send(h11.Data(data=request.body)))
-    parts.append(parser.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -0,0 +1,62 @@
+"""Requests to servers, and the receiver of their answers."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+
+__all__ = ["HttpRequest", "ResponseListener", "request_bytes"]
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A request to send.
+
+    :ivar reuse: whether a connection that served another request may be used; it may turn out to
+        be closed after the request was sent, so only a request that may be repeated allows it.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+    reuse: bool = False
+
+
+class ResponseListener(Protocol):
+    """Receiver of one answer; after ``on_end`` or ``on_failed`` it hears nothing more."""
+
+    def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Receive status and headers."""
+        ...
+
+    def on_data(self, data: bytes) -> None:
+        """Receive a part of the body."""
+        ...
+
+    def on_end(self) -> None:
+        """Receive the end of a whole answer."""
+        ...
+
+    def on_failed(self, sent: bool, reason: str) -> None:
+        """Receive the failure of the request.
+
+        :param sent: whether a byte of the request may have reached the server.
+        """
+        ...
+
+
+def request_bytes(parser: h11.Connection, address: str, request: HttpRequest) -> bytes:
+    """Return the bytes of a request, and tell the parser that it is sent.
+
+    :raises h11.LocalProtocolError: if the method, the target or a header is not valid.
+    """
+    headers = [("Host", address), *request.headers]
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append(("Content-Length", str(len(request.body))))
+    event = h11.Request(method=request.method, target=request.target, headers=headers)
+    parts = [parser.send(event)]
+    if request.body:
+        parts.append(parser.send(h11.Data(data=request.body)))
+    parts.append(parser.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/conftest.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/conftest.py
@@ -8,8 +8,8 @@
 
 import pytest
 from circuits.core import BaseComponent, Event, handler
-from circuits.core.pollers import EPoll
 from parsleyrudder_adapters.http_client import HttpClient
+from parsleyrudder_adapters.poller import LoopPoller
 from parsleyrudder_adapters.timers import Timers
 from parsleyrudder_standins.web import serve
 
@@ -27,7 +27,7 @@
 
     def __init__(self):
         super().__init__()
-        EPoll().register(self)
+        LoopPoller().register(self)
         self.timers = Timers().register(self)
         self.errors = []
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -7,7 +7,6 @@
 import time
 
 from circuits.core import BaseComponent, Event, handler
-from circuits.core.pollers import EPoll
 from parsleyrudder import (
     ConfigReply,
     ConfigRequest,
@@ -26,6 +25,7 @@
 from parsleyrudder_adapters.http_client import HttpClient
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerKeys, PeerLink
+from parsleyrudder_adapters.poller import LoopPoller
 from parsleyrudder_adapters.settings import Settings
 from parsleyrudder_adapters.timers import Timers
 
@@ -60,7 +60,7 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
-        EPoll().register(self)
+        LoopPoller().register(self)
         self.settings = settings
         self._incarnation = int(time.time() * 1000)
         self._stopping_at: float | None = None
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/relay_processes.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/relay_processes.py
@@ -13,10 +13,10 @@
 import sys
 
 from circuits.core import BaseComponent, handler
-from circuits.core.pollers import EPoll
 from parsleyrudder_adapters.front import CallerExchange, CallerFront
 from parsleyrudder_adapters.guard import GuardLimits
 from parsleyrudder_adapters.http_client import HttpClient, HttpRequest
+from parsleyrudder_adapters.poller import LoopPoller
 from parsleyrudder_adapters.timers import Timers
 
 __all__ = ["EVENT", "SHORT_BODY", "run_edges", "run_plain", "run_source"]
@@ -179,8 +179,10 @@
 def run_edges(port: int, target: str) -> None:
     """Relay until SIGTERM."""
     root = _Root()
-    EPoll().register(root)
+    LoopPoller().register(root)
     timers = Timers().register(root)
+    # A signal does not end the wait for sockets; a timer does.
+    timers.every(0.2, lambda: None)
     client = HttpClient(timers).register(root)
     limits = GuardLimits(connections=1000)
     CallerFront(timers, ("127.0.0.1", port), limits, _Edges(client, target)).register(root)
