--- a/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_fleet.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_fleet.py
@@ -62,7 +62,7 @@
         for info in infos[2:]:  # a newer heartbeat of each router, as in a live fleet
             one.learn(info, number + 2, False, now)
         began = time.perf_counter()
-        one.pick_peers(_FAN_OUT, rng, now)
+        one.pick_peers(_FAN_OUT, rng)
         data = encode_message(one.gossip(1, True, True, now))
         message = decode_message(data)
         assert isinstance(message, Gossip)
@@ -87,7 +87,7 @@
     while behind:
         rounds += 1
         for info in rng.sample(infos, count):
-            for peer in view.pick_peers(_FAN_OUT, rng, 0.0):
+            for peer in view.pick_peers(_FAN_OUT, rng):
                 if (info.name in behind) != (peer.name in behind):
                     behind -= {info.name, peer.name}
     return rounds
