--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -210,6 +210,9 @@
         self.fleet_task.gossip_now()
 
     def _on_leaving(self, servers: frozenset[str]) -> None:
+        if self.context.name in servers and self._stopping_at is None:
+            log_event(_LOGGER, "router_drained")
+            self.fire(_StopRequested(), "app")
         for pool in self.pool_by_name.values():
             pool.set_leaving(servers)
 
