--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
@@ -28,7 +28,7 @@
 
 from .attempt import Attempt
 from .context import Context
-from .key_task import Claiming, KeyClaim
+from .key_claim import Claiming, KeyClaim
 from .pool_task import PoolTask
 
 __all__ = ["CallTask"]
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_key_task.py
@@ -19,8 +19,9 @@
     TxnResult,
 )
 from parsleyrudder_adapters.timers import Timer
+from parsleyrudder_daemon.key_claim import KeyClaim
 from parsleyrudder_daemon.key_sweep import KeySweep
-from parsleyrudder_daemon.key_task import KeyClaim, KeyTask
+from parsleyrudder_daemon.key_task import KeyTask
 from parsleyrudder_daemon.metrics import Metrics
 
 PATH = "keys/lab-cariri/order-1"
