Guard lease end, grant numbers and residual queues by unit tests

Mutations of the decision code (26, one at a time) left four that no test noticed: two lookups of the lease that hide each other, the numbers of grants after a router has returned, and a queue left over from a larger window. Each has a test now; the last two mutations were run again and fail.

--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_faults.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_faults.py
@@ -7,7 +7,15 @@
 from functools import partial
 
 import pytest
-from parsleyrudder import Carried, Coordinator, Holding, MemberReport, PoolRules, Report
+from parsleyrudder import (
+    Carried,
+    Coordinator,
+    Holding,
+    MemberReport,
+    PoolRules,
+    Portions,
+    Report,
+)
 
 from .driver import Cell
 from .test_fairness import ROUTERS, WINDOWS, bound, keep_backlogged
@@ -117,6 +125,15 @@
     assert all(holding.held == 0 for holding in held.slots + held.concurrency)
 
 
+def test_portions_are_not_usable_from_the_end_of_the_lease_on():
+    """Guards each of the two lookups; the other one hides a fault of either in whole runs."""
+    portions = Portions()
+    portions.apply({"s": 2})
+    portions.renew(5.0)
+    assert (portions.idle("s", 4.9), portions.idle_by_name(4.9)) == (2, {"s": 2})
+    assert (portions.idle("s", 5.0), portions.idle_by_name(5.0)) == (0, {})
+
+
 def report(seq: int, epoch: int = 1, grant: int = 0, sender: str = "r1", **fields) -> Report:
     return Report("pool", sender, 1, seq, epoch, grant, True, 0, 0.0, **fields)
 
@@ -167,6 +184,17 @@
     assert old.totals.vt("a") - old.totals.vt("b") <= 2 * PoolRules().largest_cost
 
 
+def test_numbers_of_grants_go_on_when_a_lost_router_returns():
+    """Guards against new grants that the router takes for old ones, and old ones for new."""
+    one = coordinator()
+    [(_, first)] = one.on_report(report(1), 0.0)
+    [(_, second)] = one.on_report(report(2, grant=first.number), 0.1)
+    assert second.number > first.number
+    one.tick(7.0)
+    [(_, third)] = one.on_report(report(3, grant=first.number), 9.0)
+    assert third.number > second.number
+
+
 def test_old_and_repeated_reports_change_nothing():
     """Guards against a delayed report that revives a lost router or its portions."""
     one = coordinator()
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_windows.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_windows.py
@@ -32,7 +32,7 @@
     windows = LearnedWindows()
     windows.set_servers({"s": 8, "t": 4})
     assert windows.on_load("s", 3, 5, 0.0)
-    assert not windows.on_load("s", 3, 5, 1.0)  # left over from the larger window
+    assert not windows.on_load("s", 2, 5, 1.0)  # left over from the larger window
     assert windows.windows() == {"s": 3, "t": 4}
     for now in range(2, 60):
         windows.on_load("s", windows.windows()["s"], 0, float(now))
