--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -31,7 +31,7 @@
 from .caller_api import CallerApi
 from .config_task import ConfigTask
 from .context import Context
-from .fleet_task import FleetTask
+from .fleet_task import FleetTask, first_incarnation
 from .pool_task import PoolTask
 from .status import status_document
 
@@ -61,7 +61,7 @@
         super().__init__()
         EPoll().register(self)
         self.settings = settings
-        self._incarnation = FleetTask.first_incarnation(settings)
+        self._incarnation = first_incarnation(settings)
         self._stopping_at: float | None = None
         self._refusing = False
         timers = Timers().register(self)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
@@ -26,7 +26,7 @@
 
 from .context import Context
 
-__all__ = ["FleetTask"]
+__all__ = ["FleetTask", "first_incarnation"]
 
 _LOGGER = logging.getLogger(__name__)
 _ROUTERS = "routers/"
@@ -52,6 +52,22 @@
     state: str
 
 
+def first_incarnation(settings: Settings) -> int:
+    """Return the incarnation of this start, from the wall clock and the row of the last start.
+
+    While the table is down the wall clock alone decides.
+    """
+    txn = Txn(reads=(Range(_ROUTERS + settings.router.name),))
+    before = 0
+    try:
+        rows = BlockingEtcdTable(settings.table.address, _START_READ_S).txn(txn).rows[0]
+        if rows:
+            before = msgspec.json.decode(rows[0].value, type=_Registration).info.incarnation
+    except (TableError, msgspec.DecodeError) as error:
+        log_event(_LOGGER, "row_unknown", logging.WARNING, reason=error)
+    return next_incarnation(time.time(), before)
+
+
 class FleetTask:
     """Owner of this router's membership.
 
@@ -79,22 +95,6 @@
         context.view.rng = rng
         self._announced: frozenset[str] = frozenset()
 
-    @staticmethod
-    def first_incarnation(settings: Settings) -> int:
-        """Return the incarnation of this start, from the wall clock and the row of the last start.
-
-        While the table is down the wall clock alone decides.
-        """
-        txn = Txn(reads=(Range(_ROUTERS + settings.router.name),))
-        before = 0
-        try:
-            rows = BlockingEtcdTable(settings.table.address, _START_READ_S).txn(txn).rows[0]
-            if rows:
-                before = msgspec.json.decode(rows[0].value, type=_Registration).info.incarnation
-        except (TableError, msgspec.DecodeError) as error:
-            log_event(_LOGGER, "row_unknown", logging.WARNING, reason=error)
-        return next_incarnation(time.time(), before)
-
     def start(self) -> None:
         """Begin to announce this router and to look for the others."""
         context = self._context
