Keep one timer per caller connection

Cause: each request left a cancelled timer in the heap for up to limits.idle_s.

Change: a connection has one timer, which is set anew when it fires early; a whole request that comes in one read sets none. The date of answers is formatted once a second.

The time limits are tested after earlier requests and slow answers.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -5,6 +5,7 @@
 answers whole or as a stream.
 """
 
+import functools
 import http
 import logging
 import re
@@ -164,7 +165,10 @@
                 self.on_gone()
 
     def _head(self, status: int, headers: Iterable[tuple[str, str]]) -> list[str]:
-        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, '')}", f"Date: {_date()}"]
+        lines = [
+            f"HTTP/1.1 {status} {_REASONS.get(status, '')}",
+            f"Date: {_date(int(time.time()))}",
+        ]
         value_by_name = {"X-Rudder-Outcome": Outcome.ANSWERED.value}
         cookies = []
         for name, value in headers:
@@ -294,5 +298,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-def _date() -> str:
-    return formatdate(int(time.time()), usegmt=True)
+@functools.lru_cache(maxsize=1)
+def _date(second: int) -> str:
+    return formatdate(second, usegmt=True)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
@@ -8,8 +8,10 @@
 
 import json
 import logging
+import math
 import re
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Annotated
@@ -102,6 +104,8 @@
     :ivar input: bytes received and not parsed yet.
     :ivar scanned: number of bytes of ``input`` that were searched for the end of the head.
     :ivar parser: parser of the request whose head has been received.
+    :ivar deadline: time at which the caller has taken too long; infinite during an answer.
+    :ivar timer_due: when the timer fires; it is set anew then if the deadline has moved on.
     """
 
     input: bytearray = field(default_factory=bytearray)
@@ -112,7 +116,9 @@
     keep_alive: bool = False
     busy: bool = False
     refused: bool = False
+    deadline: float = math.inf
     timer: Timer | None = None
+    timer_due: float = math.inf
 
 
 class Guard:
@@ -157,7 +163,7 @@
             text = f"{self._limits.connections} connections are open"
             self._refuse(sock, connection, failure("too_many_connections", text, 1.0))
             return
-        self._start_timer(sock, connection, self._limits.idle_s)
+        self._expect(sock, connection, self._limits.idle_s)
 
     def done(self, sock: socket.socket) -> None:
         """Go on with the next request of a connection after an answer was written."""
@@ -174,7 +180,7 @@
         connection.request = None
         connection.body.clear()
         self.sockets.set_reading(sock, True)
-        self._start_timer(sock, connection, self._limits.idle_s)
+        self._expect(sock, connection, self._limits.idle_s)
         if connection.input:
             self._parse(sock, connection, fresh=True)
 
@@ -213,8 +219,6 @@
 
         :param fresh: whether these are the first bytes of a request.
         """
-        if fresh:
-            self._start_timer(sock, connection, self._limits.request_s)
         try:
             refusal = None if connection.parser else self._take_head(connection)
             if refusal is None and connection.parser is not None:
@@ -225,6 +229,8 @@
             refusal = failure("bad_request", f"not a valid HTTP/1.1 request: {error}")
         if refusal is not None:
             self._refuse(sock, connection, refusal)
+        elif fresh and not connection.busy:
+            self._expect(sock, connection, self._limits.request_s)
 
     def _take_head(self, connection: _Connection) -> Failure | None:
         """Check the bytes of the head; make a parser once it is whole."""
@@ -304,8 +310,7 @@
     def _pass_on(self, sock: socket.socket, connection: _Connection) -> None:
         request = connection.request
         assert request is not None
-        if connection.timer is not None:
-            connection.timer.cancel()
+        connection.deadline = math.inf
         headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in request.headers}
         http_1_0 = request.http_version == b"1.0"
         options = [option.strip() for option in headers.get("connection", "").lower().split(",")]
@@ -321,14 +326,26 @@
         )
         self._on_request(sock, passed)
 
-    def _start_timer(self, sock: socket.socket, connection: _Connection, delay_s: float) -> None:
-        if connection.timer is not None:
-            connection.timer.cancel()
-        connection.timer = self._timers.after(delay_s, lambda: self._on_timeout(sock, connection))
-
-    def _on_timeout(self, sock: socket.socket, connection: _Connection) -> None:
+    def _expect(self, sock: socket.socket, connection: _Connection, delay_s: float) -> None:
+        """Give the caller some time; most often the timer of an earlier request serves again."""
+        connection.deadline = time.monotonic() + delay_s
+        if connection.timer_due > connection.deadline:
+            if connection.timer is not None:
+                connection.timer.cancel()
+            self._set_timer(sock, connection)
+
+    def _set_timer(self, sock: socket.socket, connection: _Connection) -> None:
+        connection.timer_due = connection.deadline
+        delay_s = connection.deadline - time.monotonic()
+        connection.timer = self._timers.after(delay_s, lambda: self._on_timer(sock, connection))
+
+    def _on_timer(self, sock: socket.socket, connection: _Connection) -> None:
+        connection.timer, connection.timer_due = None, math.inf
         if connection.busy or connection.refused:
             return
+        if connection.deadline > time.monotonic():
+            self._set_timer(sock, connection)
+            return
         if connection.parser is None and not connection.input:
             self.sockets.close(sock)
             return
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
@@ -343,3 +343,37 @@
         sock.sendall(post(b"Content-Length: 900000"))
         sock.sendall(b"x" * 900000)
         assert read_answers(sock, ["POST"])[0][0] == 413
+
+
+@pytest.mark.parametrize("part", [b"", b"GET / HT", b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n"])
+def test_time_limits_hold_after_earlier_requests_and_slow_answers(loop, front, handler, part):
+    """Guards against a limit that counts from an earlier request, or that is lost after one."""
+    with connect(front) as sock:
+        for _ in range(3):
+            sock.sendall(GET)
+            assert read_answers(sock, ["GET"])[0][0] == 200
+        sock.sendall(GET.replace(b"/a", b"/hold"))
+        loop.until(lambda: handler.open)
+        time.sleep(2 * LIMITS.request_s)
+        loop.call(lambda: handler.open[0].answer(200, b"held"))
+        assert read_answers(sock, ["GET"])[0][2] == b"held"
+        sock.sendall(part)
+        if part:
+            assert read_answers(sock, ["GET"])[0][0] == 408
+        else:
+            sock.sendall(GET)
+            assert read_answers(sock, ["GET"])[0][0] == 200
+
+
+def test_idle_connection_is_closed_without_an_answer(loop, handler):
+    """Guards against connections that stay open for ever, and an answer that nobody asked for."""
+    limits = GuardLimits(request_s=5.0, idle_s=0.2)
+
+    def start():
+        return CallerFront(loop.timers, ("127.0.0.1", 0), limits, handler).register(loop)
+
+    front = loop.call(start)
+    with connect(front) as sock:
+        sock.sendall(GET)
+        assert read_answers(sock, ["GET"])[0][0] == 200
+        assert is_closed(sock)
