Serve calls through the adapters of engines, services and instance list

Cause: the adapters that the contract tests cover were not those that the daemon used, so requests of engines and services were built in two places and the tests proved the wrong one. Change: EngineAccess.complete and ServiceAccess.call send a request and hand the raw answer to the attempt, which reads it by EventStream; the daemon builds no request itself any more. The contract tests read answers the same way; cache events and resumes that an engine ignores have rows.

--- a/packages/parsleyrudder/parsleyrudder/backends.py
+++ b/packages/parsleyrudder/parsleyrudder/backends.py
@@ -10,21 +10,20 @@
 
 import msgspec
 
-from .delivery import AttemptEnd
 from .errors import RudderError
 from .placement import EngineState, Order
+from .routing import CacheEvents
 
 __all__ = [
+    "AnswerListener",
     "BackendError",
     "EngineAccess",
-    "EngineListener",
     "EngineLoad",
     "EngineRequest",
     "Instance",
     "InstanceList",
     "RunningAttempt",
     "ServiceAccess",
-    "ServiceListener",
     "ServiceRequest",
 ]
 
@@ -35,9 +34,37 @@
     code = "backend_failed"
 
 
+class AnswerListener(Protocol):
+    """Receiver of one answer; after ``on_end`` or ``on_failed`` it hears nothing more."""
+
+    def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Receive status and headers."""
+        ...
+
+    def on_data(self, data: bytes) -> None:
+        """Receive a part of the body."""
+        ...
+
+    def on_end(self) -> None:
+        """Receive the end of a whole answer."""
+        ...
+
+    def on_failed(self, sent: bool, reason: str) -> None:
+        """Receive the failure of the request.
+
+        :param sent: whether a byte of the request may have reached the server.
+        """
+        ...
+
+
 class RunningAttempt(Protocol):
     """Handle of an attempt at a server."""
 
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the request may have reached the server."""
+        ...
+
     def cancel(self) -> None:
         """Disconnect; the listener hears nothing more."""
         ...
@@ -53,33 +80,19 @@
 
 @dataclass(slots=True, frozen=True)
 class EngineRequest:
-    """A chat completion.
+    """A chat completion; the answer is read by :class:`parsleyrudder.EventStream`.
 
     :ivar id: id of the call; the same in every attempt.
     :ivar body: JSON with ``stream`` true.
     :ivar resume_from: tokens that the caller has got already.
+    :ivar may_send: asked just before the first byte is sent.
     """
 
     id: str
     attempt: int
     body: bytes
     resume_from: int = 0
-
-
-class EngineListener(Protocol):
-    """Receiver of an engine's stream."""
-
-    def on_events(self, events: bytes, tokens: list[str]) -> None:
-        """Receive whole server-sent events, without the end mark, and the tokens in them."""
-        ...
-
-    def on_done(self, finish_reason: str) -> None:
-        """Receive the end mark of a whole stream."""
-        ...
-
-    def on_failed(self, end: AttemptEnd, reason: str) -> None:
-        """Receive the failure of the attempt."""
-        ...
+    may_send: Callable[[], bool] | None = None
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
@@ -94,7 +107,7 @@
     """Asynchronous access to model engines."""
 
     def complete(
-        self, address: str, request: EngineRequest, listener: EngineListener
+        self, address: str, request: EngineRequest, listener: AnswerListener
     ) -> RunningAttempt:
         """Run a chat completion."""
         ...
@@ -103,6 +116,12 @@
         """Read the load of an engine."""
         ...
 
+    def cache_events(
+        self, address: str, after: int, done: Callable[[CacheEvents | BackendError], None]
+    ) -> None:
+        """Read the cache events after a number, which come late and with gaps."""
+        ...
+
     def state(self, address: str, done: Callable[[EngineState | BackendError], None]) -> None:
         """Read what an engine holds and loads."""
         ...
@@ -120,6 +139,7 @@
 
     :ivar target: path and query.
     :ivar repeatable: whether the call may run more than once.
+    :ivar may_send: asked just before the first byte is sent.
     """
 
     id: str
@@ -129,25 +149,14 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     repeatable: bool = False
-
-
-class ServiceListener(Protocol):
-    """Receiver of a plain service's answer."""
-
-    def on_answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Receive a whole answer."""
-        ...
-
-    def on_failed(self, end: AttemptEnd, reason: str) -> None:
-        """Receive the failure of the attempt."""
-        ...
+    may_send: Callable[[], bool] | None = None
 
 
 class ServiceAccess(Protocol):
     """Asynchronous access to plain services."""
 
     def call(
-        self, address: str, request: ServiceRequest, listener: ServiceListener
+        self, address: str, request: ServiceRequest, listener: AnswerListener
     ) -> RunningAttempt:
         """Run a call."""
         ...
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -14,11 +14,12 @@
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
+from parsleyrudder import AnswerListener
 
-from .http_messages import HttpRequest, ResponseListener, request_bytes
+from .http_messages import HttpRequest, request_bytes
 from .timers import Timer, Timers
 
-__all__ = ["Exchange", "HttpClient", "HttpRequest", "ResponseListener"]
+__all__ = ["Exchange", "HttpClient", "HttpRequest"]
 
 _READ_BYTES = 65536
 _IDLE_CONNECTIONS = 8
@@ -30,11 +31,11 @@
     __slots__ = ("_client", "connection", "listener", "request", "sent", "timer")
 
     def __init__(
-        self, client: "HttpClient", request: HttpRequest, listener: ResponseListener
+        self, client: "HttpClient", request: HttpRequest, listener: AnswerListener
     ) -> None:
         self._client = client
         self.request = request
-        self.listener: ResponseListener | None = listener
+        self.listener: AnswerListener | None = listener
         self.connection: _Connection | None = None
         self.sent = False
         self.timer: Timer | None = None
@@ -109,7 +110,7 @@
         self,
         address: str,
         request: HttpRequest,
-        listener: ResponseListener,
+        listener: AnswerListener,
         timeout_s: float | None = None,
     ) -> Exchange:
         """Send a request.
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -1,12 +1,11 @@
-"""Requests to servers, and the receiver of their answers."""
+"""Requests to servers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import h11
 
-__all__ = ["HttpRequest", "ResponseListener", "request_bytes"]
+__all__ = ["HttpRequest", "request_bytes"]
 
 
 @dataclass(slots=True)
@@ -27,29 +26,6 @@
     may_send: Callable[[], bool] | None = None
 
 
-class ResponseListener(Protocol):
-    """Receiver of one answer; after ``on_end`` or ``on_failed`` it hears nothing more."""
-
-    def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Receive status and headers."""
-        ...
-
-    def on_data(self, data: bytes) -> None:
-        """Receive a part of the body."""
-        ...
-
-    def on_end(self) -> None:
-        """Receive the end of a whole answer."""
-        ...
-
-    def on_failed(self, sent: bool, reason: str) -> None:
-        """Receive the failure of the request.
-
-        :param sent: whether a byte of the request may have reached the server.
-        """
-        ...
-
-
 def request_bytes(parser: h11.Connection, address: str, request: HttpRequest) -> bytes:
     """Return the bytes of a request, and tell the parser that it is sent.
 
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/instances.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/instances.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
-from parsleyrudder import AttemptEnd, BackendError, Instance
+from parsleyrudder import BackendError, Instance
 
 from .http_client import HttpClient, HttpRequest
 from .whole_answer import WholeAnswer
@@ -38,9 +38,6 @@
                 return
             done(instances)
 
-        def on_failed(end: AttemptEnd, reason: str) -> None:
-            fail(reason)
-
-        answer = WholeAnswer(on_answer, on_failed)
+        answer = WholeAnswer(on_answer, fail)
         request = HttpRequest("GET", "/instances", reuse=True)
         answer.exchange = self._client.send(self._address, request, answer, self._timeout_s)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/services.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/services.py
@@ -1,9 +1,9 @@
-"""Adapter of plain services: one HTTP request, one whole answer."""
+"""Adapter of plain services: one HTTP request per call."""
 
-from parsleyrudder import AttemptEnd, ServiceListener, ServiceRequest
+from parsleyrudder import AnswerListener, ServiceRequest
 
-from .http_client import Exchange, HttpClient, HttpRequest
-from .whole_answer import WholeAnswer, is_not_run
+from .http_client import Exchange, HttpClient
+from .http_messages import HttpRequest
 
 __all__ = ["HttpServices"]
 
@@ -14,17 +14,8 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
-    def call(self, address: str, request: ServiceRequest, listener: ServiceListener) -> Exchange:
-        """Run a call; a 5xx of a call that may be repeated is a failed attempt."""
-
-        def on_answer(status: int, headers: dict[str, str], body: bytes) -> None:
-            if is_not_run(status, headers):
-                listener.on_failed(AttemptEnd.REFUSED, "server refused")
-            elif status >= 500 and request.repeatable:
-                listener.on_failed(AttemptEnd.FAILED, f"status {status}")
-            else:
-                listener.on_answer(status, headers, body)
-
+    def call(self, address: str, request: ServiceRequest, listener: AnswerListener) -> Exchange:
+        """Run a call; only one that may be repeated uses a connection a second time."""
         headers = [("X-Request-Id", request.id), ("X-Attempt", str(request.attempt))]
         message = HttpRequest(
             request.method,
@@ -32,7 +23,6 @@
             [*request.headers, *headers],
             request.body,
             reuse=request.repeatable,
+            may_send=request.may_send,
         )
-        answer = WholeAnswer(on_answer, listener.on_failed)
-        answer.exchange = self._client.send(address, message, answer)
-        return answer.exchange
+        return self._client.send(address, message, listener)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_engine.py
@@ -4,26 +4,40 @@
 import time
 
 import pytest
-from parsleyrudder import AttemptEnd, BackendError, EngineRequest, Loaded, Order
+from parsleyrudder import BackendError, EngineRequest, EventStream, Loaded, Order
 from parsleyrudder_adapters.engines import HttpEngines
 from parsleyrudder_standins.engine import EngineStandIn
 
 
 class Listener:
-    def __init__(self):
+    """Reads a stream as a router does, and keeps how it ended."""
+
+    def __init__(self, id="call-1", relayed=0):
+        self.stream = EventStream(id, relayed)
+        self.status = 0
+        self.headers = {}
         self.tokens = []
         self.events = b""
         self.done = []
 
-    def on_events(self, events, tokens):
-        self.events += events
-        self.tokens += tokens
+    def on_head(self, status, headers):
+        self.status, self.headers = status, dict(headers)
+        self.stream.begin(self.headers.get("x-resumed-from"))
+
+    def on_data(self, data):
+        if self.status == 200:
+            part = self.stream.feed(data)
+            self.events += part.events
+            self.tokens += part.texts
 
-    def on_done(self, finish_reason):
-        self.done.append(finish_reason)
+    def on_end(self):
+        if self.status == 200:
+            self.done.append("whole" if self.stream.done else self.stream.fault or "no end mark")
+        else:
+            self.done.append((self.status, self.headers.get("x-not-run")))
 
-    def on_failed(self, end, reason):
-        self.done.append(end)
+    def on_failed(self, sent, reason):
+        self.done.append("broken" if sent else "not sent")
 
 
 @pytest.fixture
@@ -44,19 +58,20 @@
     return EngineRequest(id, 1, json.dumps(body).encode(), resume_from)
 
 
-# Each row: fault, tokens, resumed from, tokens received, final event.
+# Each row: fault, tokens, resumed from, tokens received, end.
 STREAMS: dict[str, tuple] = {
-    "whole": (None, 20, 0, range(20), "stop"),
-    "resumed": (None, 20, 7, range(7, 20), "stop"),
-    "resumed at the end": (None, 20, 20, range(0), "stop"),
-    "cut at once": ({"mode": "cut", "after": 0}, 20, 0, range(0), AttemptEnd.BROKEN),
-    "cut later": ({"mode": "cut", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
-    "cut after a resume": ({"mode": "cut", "after": 5}, 20, 7, range(7, 12), AttemptEnd.BROKEN),
-    "no end mark": ({"mode": "end", "after": 5}, 20, 0, range(5), AttemptEnd.BROKEN),
-    "events that are no JSON": ({"mode": "garbage"}, 20, 0, range(0), AttemptEnd.BROKEN),
-    "failed": ({"mode": "fail"}, 20, 0, range(0), AttemptEnd.FAILED),
-    "refused as not run": ({"mode": "refuse"}, 20, 0, range(0), AttemptEnd.REFUSED),
-    "no listener": ("stopped", 20, 0, range(0), AttemptEnd.NOT_SENT),
+    "whole": (None, 20, 0, range(20), "whole"),
+    "resumed": (None, 20, 7, range(7, 20), "whole"),
+    "resumed at the end": (None, 20, 20, range(0), "whole"),
+    "resume ignored": ({"mode": "up", "ignore_resume": True}, 20, 7, range(7, 20), "whole"),
+    "cut at once": ({"mode": "cut", "after": 0}, 20, 0, range(0), "broken"),
+    "cut later": ({"mode": "cut", "after": 5}, 20, 0, range(5), "broken"),
+    "cut after a resume": ({"mode": "cut", "after": 5}, 20, 7, range(7, 12), "broken"),
+    "no end mark": ({"mode": "end", "after": 5}, 20, 0, range(5), "no end mark"),
+    "no JSON": ({"mode": "garbage"}, 20, 0, range(0), "an event is no chunk of a completion"),
+    "failed": ({"mode": "fail"}, 20, 0, range(0), (500, None)),
+    "refused as not run": ({"mode": "refuse"}, 20, 0, range(0), (503, "true")),
+    "no listener": ("stopped", 20, 0, range(0), "not sent"),
 }
 
 
@@ -69,14 +84,14 @@
         server.stop_listening()
     elif fault:
         server.fault(**fault)
-    listener = Listener()
+    listener = Listener("c", first)
     loop.call(lambda: engines.complete(server.address, request(tokens, "c", first), listener))
     loop.until(lambda: listener.done)
     assert listener.done == [end]
     assert "".join(listener.tokens) == "".join(f"w{i} " for i in expected)
     assert b"[DONE]" not in listener.events
     assert listener.events.endswith(b"\n\n") or not listener.events
-    ran = end not in (AttemptEnd.REFUSED, AttemptEnd.FAILED, AttemptEnd.NOT_SENT)
+    ran = isinstance(end, str) and end != "not sent"
     assert standin.executions == ({"c": 1} if ran else {})
 
 
@@ -104,7 +119,7 @@
 def test_load_counts_waiting_requests_and_lags(loop, engine):
     """Guards against taking a load report for the present, and a wrong field."""
     server, standin, engines = engine(window=2, token_s=0.01)
-    listeners = [Listener() for _ in range(5)]
+    listeners = [Listener(str(i)) for i in range(5)]
     attempts = [
         loop.call(
             lambda i=i, each=each: engines.complete(server.address, request(9999, str(i)), each)
@@ -164,6 +179,28 @@
     assert all(state.loaded is None for state in seen[:-1])
 
 
+def test_cache_events_come_late_and_say_what_was_cached(loop, engine):
+    """Guards against hints that are read twice, or that name what the engine never cached."""
+    server, _, engines = engine()
+    listener = Listener("c")
+    loop.call(lambda: engines.complete(server.address, request(2, "c"), listener))
+    loop.until(lambda: listener.done)
+    seen: list = []
+
+    def published():
+        count = len(seen)
+        loop.call(lambda: engines.cache_events(server.address, 0, seen.append))
+        loop.until(lambda: len(seen) > count)
+        return bool(seen[-1].events)
+
+    loop.until(published)
+    count, newest = len(seen), seen[-1].events[-1]
+    assert newest.stored
+    loop.call(lambda: engines.cache_events(server.address, newest.seq, seen.append))
+    loop.until(lambda: len(seen) > count)
+    assert not seen[-1].events
+
+
 def test_load_and_order_without_an_engine_are_errors(loop, engine):
     """Guards against a failed read that raises in the loop or counts as an idle engine."""
     server, _, engines = engine()
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_service.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_contract_service.py
@@ -3,31 +3,43 @@
 import json
 
 import pytest
-from parsleyrudder import AttemptEnd, ServiceRequest
+from parsleyrudder import ServiceRequest
 from parsleyrudder_adapters.services import HttpServices
 from parsleyrudder_standins.service import ServiceStandIn
 
 
 class Listener:
+    """Collects an answer and keeps how it ended."""
+
     def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
         self.results = []
 
-    def on_answer(self, status, headers, body):
-        self.results.append((status, headers, body))
+    def on_head(self, status, headers):
+        self.status, self.headers = status, dict(headers)
+
+    def on_data(self, data):
+        self.body += data
+
+    def on_end(self):
+        refused = self.headers.get("x-not-run") == "true"
+        self.results.append("not run" if refused else self.status)
 
-    def on_failed(self, end, reason):
-        self.results.append(end)
+    def on_failed(self, sent, reason):
+        self.results.append("broken" if sent else "not sent")
 
 
-# Each row: fault, method, repeatable, status or end of the attempt, executions.
+# Each row: fault, method, repeatable, status or end, executions.
 CASES = {
     "read": ("up", "GET", True, 200, 1),
     "order": ("up", "POST", False, 200, 1),
-    "error of a call that may be repeated": ("fail", "GET", True, AttemptEnd.FAILED, 1),
+    "error of a call that may be repeated": ("fail", "GET", True, 500, 1),
     "error of a call that may not": ("fail", "POST", False, 500, 1),
-    "refused as not run": ("refuse", "POST", False, AttemptEnd.REFUSED, 0),
-    "executed, answer cut": ("cut", "POST", False, AttemptEnd.BROKEN, 1),
-    "no listener": ("stopped", "POST", False, AttemptEnd.NOT_SENT, 0),
+    "refused as not run": ("refuse", "POST", False, "not run", 0),
+    "executed, answer cut": ("cut", "POST", False, "broken", 1),
+    "no listener": ("stopped", "POST", False, "not sent", 0),
 }
 
 
@@ -43,12 +55,11 @@
     listener = Listener()
     loop.call(lambda: HttpServices(client).call(server.address, call, listener))
     loop.until(lambda: listener.results)
-    (result,) = listener.results
-    assert (result[0] if isinstance(result, tuple) else result) == expected
-    if isinstance(result, tuple):
+    assert listener.results == [expected]
+    if isinstance(expected, int):
         answer = {"method": method, "path": "/stock/a", "request_id": "c-1"}
-        assert json.loads(result[2]) == answer
-        assert result[1]["content-type"] == "application/json"
+        assert json.loads(listener.body) == answer
+        assert listener.headers["content-type"] == "application/json"
     assert standin.executions.get("c-1", 0) == executions
 
 
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/whole_answer.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/whole_answer.py
@@ -1,15 +1,12 @@
-"""Collecting a whole answer, and what the status and the failure of an attempt mean."""
+"""Collecting a whole answer of bounded size."""
 
 from collections.abc import Callable
 
-from parsleyrudder import AttemptEnd
-
 from .http_client import Exchange
 
-__all__ = ["WholeAnswer", "attempt_end", "is_not_run"]
+__all__ = ["WholeAnswer"]
 
 _MOST_BODY_BYTES = 8 << 20
-_NOT_RUN_STATUS = 503
 
 
 class WholeAnswer:
@@ -23,7 +20,7 @@
     def __init__(
         self,
         on_answer: Callable[[int, dict[str, str], bytes], None],
-        on_failed: Callable[[AttemptEnd, str], None],
+        on_failed: Callable[[str], None],
     ) -> None:
         self._on_answer = on_answer
         self._on_failed = on_failed
@@ -33,31 +30,21 @@
         self.exchange: Exchange | None = None
 
     def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """See :class:`ResponseListener`."""
+        """See :class:`AnswerListener`."""
         self._status, self._headers = status, dict(headers)
 
     def on_data(self, data: bytes) -> None:
-        """See :class:`ResponseListener`."""
+        """See :class:`AnswerListener`."""
         self._body += data
         if len(self._body) > _MOST_BODY_BYTES:
             if self.exchange is not None:
                 self.exchange.cancel()
-            self._on_failed(AttemptEnd.BROKEN, "answer too large")
+            self._on_failed("answer too large")
 
     def on_end(self) -> None:
-        """See :class:`ResponseListener`."""
+        """See :class:`AnswerListener`."""
         self._on_answer(self._status, self._headers, bytes(self._body))
 
     def on_failed(self, sent: bool, reason: str) -> None:
-        """See :class:`ResponseListener`."""
-        self._on_failed(attempt_end(sent), reason)
-
-
-def attempt_end(sent: bool) -> AttemptEnd:
-    """Return how an attempt ended whose connection failed."""
-    return AttemptEnd.BROKEN if sent else AttemptEnd.NOT_SENT
-
-
-def is_not_run(status: int, headers: dict[str, str]) -> bool:
-    """Whether a server said that it did not run the call."""
-    return status == _NOT_RUN_STATUS and headers.get("x-not-run", "").lower() == "true"
+        """See :class:`AnswerListener`."""
+        self._on_failed(reason)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -23,9 +23,11 @@
 from parsleyrudder_adapters.etcd import EtcdTable
 from parsleyrudder_adapters.front import CallerFront
 from parsleyrudder_adapters.http_client import HttpClient
+from parsleyrudder_adapters.instances import HttpInstanceList
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerKeys, PeerLink
 from parsleyrudder_adapters.poller import LoopPoller
+from parsleyrudder_adapters.services import HttpServices
 from parsleyrudder_adapters.settings import Settings
 from parsleyrudder_adapters.timers import Timers
 
@@ -77,17 +79,18 @@
         self.context = Context(
             settings,
             timers,
-            client,
+            HttpEngines(client),
+            HttpServices(client),
+            HttpInstanceList(client, settings.instances.address),
             EtcdTable(client, settings.table.address, settings.table.timeout_s),
             FleetView(self._info(), ViewRules(settings.peers.gossip_interval_s)),
             self._send,
         )
         self.context.keys = KeyTask(self.context)
         self.pool_by_name = {pool.name: PoolTask(self.context, pool) for pool in settings.pools}
-        engines = HttpEngines(client)
-        self.orders_task = OrdersTask(self.context, engines, self.pool_by_name.values())
-        self.spares_task = SparesTask(self.context, engines, self.pool_by_name.values())
-        self.load_task = LoadTask(self.context, engines, self.pool_by_name.values())
+        self.orders_task = OrdersTask(self.context, self.pool_by_name.values())
+        self.spares_task = SparesTask(self.context, self.pool_by_name.values())
+        self.load_task = LoadTask(self.context, self.pool_by_name.values())
         self.config_task = ConfigTask(self.context, self._on_config)
         rng = random.Random(f"{settings.router.name}:{self._incarnation}")
         self.fleet_task = FleetTask(
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/call_task.py
@@ -14,6 +14,7 @@
     KeyReplay,
     Outcome,
     Retry,
+    RunningAttempt,
     ServerInfo,
     WaitingCall,
     failure,
@@ -22,7 +23,6 @@
     request_digest,
 )
 from parsleyrudder_adapters.front import CallerExchange
-from parsleyrudder_adapters.http_client import HttpRequest
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timer
 
@@ -96,9 +96,7 @@
         attempt = self.new_attempt(number, server)
         self._attempt = attempt
         self._last_server = server.id
-        request = self.server_request(number)
-        request.may_send = self._may_send
-        attempt.exchange = self.context.client.send(server.address, request, attempt)
+        attempt.exchange = self.send(server.address, number, attempt)
         attempt.watch()
 
     def refuse(self, reason: Failure) -> None:
@@ -122,8 +120,8 @@
         """Return the listener of an attempt."""
         raise NotImplementedError
 
-    def server_request(self, number: int) -> HttpRequest:
-        """Return the request of an attempt."""
+    def send(self, address: str, number: int, attempt: Attempt) -> RunningAttempt:
+        """Send the request of an attempt."""
         raise NotImplementedError
 
     def succeed(self, status: int, content_type: str, body: bytes | None) -> None:
@@ -177,7 +175,7 @@
         self.exchange.abort(discard=True)
         self.leave()
 
-    def _may_send(self) -> bool:
+    def may_send(self) -> bool:
         """Whether portion lease and deadline still hold, as the process may have been paused."""
         return not self.pool.is_cut_off() and self.context.now() < self.call.deadline
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/context.py
@@ -5,8 +5,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from parsleyrudder import Config, FleetView, Message, TableService
-from parsleyrudder_adapters.http_client import HttpClient
+from parsleyrudder import (
+    Config,
+    EngineAccess,
+    FleetView,
+    InstanceList,
+    Message,
+    ServiceAccess,
+    TableService,
+)
 from parsleyrudder_adapters.settings import Settings
 from parsleyrudder_adapters.timers import Timers
 
@@ -48,7 +55,9 @@
 
     settings: Settings
     timers: Timers
-    client: HttpClient
+    engines: EngineAccess
+    services: ServiceAccess
+    instances: InstanceList
     table: TableService
     view: FleetView
     send: Callable[[str, Message], None]
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/engine_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/engine_call.py
@@ -1,9 +1,17 @@
 """Calls of model engines: chat completions, relayed as server-sent events or collected."""
 
 import msgspec
-from parsleyrudder import AttemptEnd, Call, EventStream, ServerInfo, StreamPart, WaitingCall
+from parsleyrudder import (
+    AttemptEnd,
+    Call,
+    EngineRequest,
+    EventStream,
+    RunningAttempt,
+    ServerInfo,
+    StreamPart,
+    WaitingCall,
+)
 from parsleyrudder_adapters.front import CallerExchange
-from parsleyrudder_adapters.http_client import HttpRequest
 
 from .attempt import Attempt
 from .call_task import CallTask
@@ -75,16 +83,12 @@
         """Return the listener of an attempt."""
         return _StreamAttempt(self, number, server)
 
-    def server_request(self, number: int) -> HttpRequest:
-        """Return the request of an attempt."""
-        headers = [
-            ("Content-Type", "application/json"),
-            ("X-Request-Id", self.call.id),
-            ("X-Attempt", str(number)),
-        ]
-        if self.call.relayed:
-            headers.append(("X-Resume-From", str(self.call.relayed)))
-        return HttpRequest("POST", "/v1/chat/completions", headers, self._body, reuse=True)
+    def send(self, address: str, number: int, attempt: Attempt) -> RunningAttempt:
+        """Send the request of an attempt."""
+        request = EngineRequest(
+            self.call.id, number, self._body, self.call.relayed, may_send=self.may_send
+        )
+        return self.context.engines.complete(address, request, attempt)
 
     def on_part(self, part: StreamPart) -> None:
         """Relay whole server-sent events that hold some tokens."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
@@ -7,8 +7,10 @@
 
 import msgspec
 from parsleyrudder import (
+    BackendError,
     Compare,
     Gossip,
+    Instance,
     Put,
     Range,
     RouterInfo,
@@ -20,7 +22,6 @@
     rendezvous,
 )
 from parsleyrudder_adapters.etcd import BlockingEtcdTable
-from parsleyrudder_adapters.http_client import HttpRequest
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.settings import Settings
 
@@ -45,13 +46,6 @@
     leaving: bool = False
 
 
-class _Instance(msgspec.Struct):
-    """Entry of the platform's instance list."""
-
-    id: str
-    state: str
-
-
 def first_incarnation(settings: Settings) -> int:
     """Return the incarnation of this start, from the wall clock and the row of the last start.
 
@@ -212,11 +206,13 @@
             self._context.table.txn(Txn((unchanged,), (), (key,)), lambda result: None)
 
     def _read_instances(self) -> None:
-        address = self._context.settings.instances.address
-        request = HttpRequest("GET", "/instances", reuse=True)
-        self._context.client.send(address, request, _InstancesListener(self._on_instances), 2.0)
+        self._context.instances.read(self._on_instances)
 
-    def _on_instances(self, instances: list[_Instance]) -> None:
+    def _on_instances(self, instances: list[Instance] | BackendError) -> None:
+        if isinstance(instances, BackendError):
+            reason = instances.message
+            log_event(_LOGGER, "instance_list_down", logging.WARNING, reason=reason)
+            return
         leaving = frozenset(item.id for item in instances if item.state == "leaving")
         for name in leaving:
             self._context.view.mark_leaving(name)
@@ -231,28 +227,3 @@
             log_event(_LOGGER, "servers_leaving", servers=",".join(sorted(leaving)))
             self._on_leaving(leaving)
             self._gossip()
-
-
-class _InstancesListener:
-    """Collects the answer of the instance list; a failed read is repeated at the next interval."""
-
-    def __init__(self, done: Callable[[list[_Instance]], None]) -> None:
-        self._done = done
-        self._body = bytearray()
-
-    def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        pass
-
-    def on_data(self, data: bytes) -> None:
-        self._body += data
-
-    def on_end(self) -> None:
-        try:
-            instances = msgspec.json.decode(bytes(self._body), type=list[_Instance])
-        except msgspec.DecodeError as error:
-            log_event(_LOGGER, "instance_list_refused", logging.WARNING, reason=error)
-            return
-        self._done(instances)
-
-    def on_failed(self, sent: bool, reason: str) -> None:
-        log_event(_LOGGER, "instance_list_down", logging.WARNING, reason=reason)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/load_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/load_task.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Iterable
 
-from parsleyrudder import BackendError, EngineAccess, EngineLoad, ServerInfo
+from parsleyrudder import BackendError, EngineLoad, ServerInfo
 from parsleyrudder_adapters.logs import log_event
 
 from .context import Context
@@ -17,9 +17,8 @@
 class LoadTask:
     """Owner of the load reads of this router."""
 
-    def __init__(self, context: Context, engines: EngineAccess, pools: Iterable[PoolTask]) -> None:
+    def __init__(self, context: Context, pools: Iterable[PoolTask]) -> None:
         self._context = context
-        self._engines = engines
         self._pools = [pool for pool in pools if pool.settings.kind == "engine"]
         self._reading: set[str] = set()
 
@@ -49,4 +48,4 @@
             else:
                 pool.on_load(server.id, load.running, load.waiting)
 
-        self._engines.load(server.address, done)
+        self._context.engines.load(server.address, done)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/orders_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/orders_task.py
@@ -13,7 +13,6 @@
 from parsleyrudder import (
     BackendError,
     CoordinatorLease,
-    EngineAccess,
     EngineState,
     Loaded,
     Order,
@@ -65,12 +64,10 @@
     def __init__(
         self,
         context: Context,
-        engines: EngineAccess,
         reconciler: Reconciler,
         address_by_server: Mapping[str, str],
     ) -> None:
         self._context = context
-        self._engines = engines
         self._reconciler = reconciler
         self._address_by_server = address_by_server
         self.state_by_server: dict[str, EngineState] = {}
@@ -111,7 +108,7 @@
             else:
                 self.state_by_server.pop(server, None)
 
-        self._engines.state(address, done)
+        self._context.engines.state(address, done)
 
     def _send(self, order: Order) -> None:
         def done(taken: bool | BackendError) -> None:
@@ -128,19 +125,18 @@
             if not accepted:
                 self._reconciler.refused(order.server)
 
-        self._engines.order(self._address_by_server[order.server], order, done)
+        self._context.engines.order(self._address_by_server[order.server], order, done)
 
 
 class OrdersTask:
     """Owner of the orders to the engines of the pools that this router coordinates."""
 
-    def __init__(self, context: Context, engines: EngineAccess, pools: Iterable[PoolTask]) -> None:
+    def __init__(self, context: Context, pools: Iterable[PoolTask]) -> None:
         self._context = context
         rules = context.settings.orders.rules()
         self._giver_by_pool = {
             pool: OrderGiver(
                 context,
-                engines,
                 Reconciler(rules),
                 {server.id: server.address for server in pool.settings.servers},
             )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/service_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/service_call.py
@@ -1,8 +1,16 @@
 """Calls of plain services: one request, one answer; a large answer is streamed."""
 
-from parsleyrudder import AttemptEnd, Call, Failure, ServerInfo, WaitingCall, failure
+from parsleyrudder import (
+    AttemptEnd,
+    Call,
+    Failure,
+    RunningAttempt,
+    ServerInfo,
+    ServiceRequest,
+    WaitingCall,
+    failure,
+)
 from parsleyrudder_adapters.front import CallerExchange
-from parsleyrudder_adapters.http_client import HttpRequest
 
 from .attempt import Attempt
 from .call_task import CallTask
@@ -14,7 +22,14 @@
 _COLLECT_BYTES = 256 * 1024
 _MOST_COLLECTED_BYTES = 8 << 20
 _REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
-_PASSED_REQUEST = ("content-type", "accept", "accept-language", "if-match", "if-none-match")
+_PASSED_REQUEST = (
+    "content-type",
+    "accept",
+    "accept-language",
+    "if-match",
+    "if-none-match",
+    "idempotency-key",
+)
 _DROPPED_ANSWER = frozenset(
     {
         "connection",
@@ -28,8 +43,8 @@
         "transfer-encoding",
         "upgrade",
         "x-idempotent-replay",
-        "x-request-id",
         "x-rudder-outcome",
+        "x-request-id",
     }
 )
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -63,16 +78,21 @@
         """Return the listener of an attempt."""
         return _ServiceAttempt(self, number, server)
 
-    def server_request(self, number: int) -> HttpRequest:
-        """Return the request of an attempt."""
+    def send(self, address: str, number: int, attempt: Attempt) -> RunningAttempt:
+        """Send the request of an attempt."""
         request = self.exchange.request
-        headers = [(n, request.headers[n]) for n in _PASSED_REQUEST if n in request.headers]
-        headers += [("X-Request-Id", self.call.id), ("X-Attempt", str(number))]
-        key = request.headers.get("idempotency-key")
-        if key is not None:
-            headers.append(("Idempotency-Key", key))
-        reuse = self.call.idempotent
-        return HttpRequest(request.method, self._path, headers, request.body, reuse)
+        headers = tuple((n, request.headers[n]) for n in _PASSED_REQUEST if n in request.headers)
+        call = ServiceRequest(
+            self.call.id,
+            number,
+            request.method,
+            self._path,
+            headers,
+            request.body,
+            self.call.idempotent,
+            self.may_send,
+        )
+        return self.context.services.call(address, call, attempt)
 
     def accrue(self, now: float) -> None:
         """Charge the time that servers have spent."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/spares_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/spares_task.py
@@ -12,7 +12,6 @@
 from parsleyrudder import (
     Compare,
     CoordinatorLease,
-    EngineAccess,
     Move,
     Placement,
     PlacementState,
@@ -45,14 +44,14 @@
 class SparesTask:
     """Owner of this router's part in the placement of spares; idle where there are none."""
 
-    def __init__(self, context: Context, engines: EngineAccess, pools: Iterable[PoolTask]) -> None:
+    def __init__(self, context: Context, pools: Iterable[PoolTask]) -> None:
         self._context = context
         settings = context.settings
         self._spare_by_id = {spare.id: spare for spare in settings.spares}
         self._pool_by_name = {pool.name: pool for pool in pools if pool.settings.kind == "engine"}
         addresses = {spare.id: spare.address for spare in settings.spares}
         rules = settings.orders.rules()
-        self._giver = OrderGiver(context, engines, Reconciler(rules), addresses)
+        self._giver = OrderGiver(context, Reconciler(rules), addresses)
         orders = settings.orders
         self._planner = SparePlanner(
             SpareRules(
