Wait for the second byte of an empty line before a request

Cause: when CR and LF of an empty line before a request came in two reads, the request was refused.

Change: the guard waits for the second byte. The test spaces the first bytes, so that it fails each time without the correction.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
@@ -237,7 +237,9 @@
         head = connection.input
         if head.startswith(b"\r\n"):
             del head[:2]  # RFC 9112 section 2.2: an empty line before a request is ignored.
-        if head and not _METHOD_START.match(head):
+        if head in (b"", b"\r"):
+            return None
+        if not _METHOD_START.match(head):
             return failure("bad_request", "the input does not begin with an HTTP method")
         end = head.find(_HEAD_END, max(0, connection.scanned - 3))
         length = len(head) if end < 0 else end + len(_HEAD_END)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
@@ -208,6 +208,8 @@
     with connect(front) as sock:
         for at in range(0, len(sent), step or len(sent)):
             sock.sendall(sent[at : at + (step or len(sent))])
+            # Lets the front read the first bytes one by one; later ones may come joined.
+            time.sleep(0.01 if step and at < 8 else 0.0)
         answers = read_answers(sock, ["GET"] * len(targets))
     assert handler.targets == targets
     echoed = [json.loads(body)["target"] for _, _, body in answers if body[:1] == b"{"]
