--- a/packages/parsleyrudder/parsleyrudder/sharing/portions.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/portions.py
@@ -4,6 +4,7 @@
 may hold never exceeds the resource.
 """
 
+import heapq
 import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -273,17 +274,22 @@
 class Portions:
     """Router's side: portions by resource, under one lease.
 
+    The sum and the idle parts are kept up to date, so that a dispatch does not go through all
+    resources.
+
+    :ivar portion_by_name: changed by the methods only.
     :ivar expires_at: monotonic time at which the lease ends.
     """
 
     portion_by_name: dict[str, Portion] = field(default_factory=dict)
     expires_at: float = -math.inf
+    _held: int = 0
+    _idle: dict[str, int] = field(default_factory=dict)
 
     def apply(self, granted: Mapping[str, int]) -> None:
         """Replace the portions by newly granted ones."""
         for name in granted.keys() | self.portion_by_name.keys():
-            self._portion(name).held = granted.get(name, 0)
-        self._drop_empty()
+            self._change(name, granted.get(name, 0) - self._of(name).held)
 
     def renew(self, expires_at: float) -> None:
         """Let the lease end at a time, unless it ends later already."""
@@ -291,70 +297,66 @@
 
     def idle(self, name: str, now: float) -> int:
         """Return the slots of a resource that may be taken now; 0 once the lease has ended."""
-        portion = self.portion_by_name.get(name)
-        if portion is None or now >= self.expires_at:
-            return 0
-        return max(0, portion.idle)
+        return self._idle.get(name, 0) if now < self.expires_at else 0
 
     def idle_by_name(self, now: float) -> dict[str, int]:
         """Return the slots that may be taken now, by resource; zeros are left out."""
-        if now >= self.expires_at:
-            return {}
-        return {name: p.idle for name, p in self.portion_by_name.items() if p.idle > 0}
+        return dict(self._idle) if now < self.expires_at else {}
 
     def take(self, name: str) -> None:
         """Use one slot; the caller has checked :meth:`idle`."""
-        self._portion(name).used += 1
+        self._change(name, used=1)
 
     def give_back(self, name: str) -> None:
         """End the use of one slot."""
-        portion = self._portion(name)
-        portion.used -= 1
-        if not portion.used and not portion.held:
-            del self.portion_by_name[name]
+        self._change(name, used=-1)
 
     def release(self, count: int) -> int:
         """Give up to ``count`` idle slots back, from the resource with most idle slots first.
 
         :returns: number of slots given up.
         """
+        heap = [(-idle, name) for name, idle in self._idle.items()]
+        heapq.heapify(heap)
         released = 0
-        while released < count:
-            name, portion = max(
-                self.portion_by_name.items(), key=lambda item: item[1].idle, default=("", Portion())
-            )
-            if portion.idle <= 0:
-                break
-            portion.held -= 1
+        while released < count and heap:
+            _, name = heap[0]
+            self._change(name, -1)
             released += 1
-        self._drop_empty()
+            if name in self._idle:
+                heapq.heapreplace(heap, (-self._idle[name], name))
+            else:
+                heapq.heappop(heap)
         return released
 
     def release_unused(self, name: str) -> None:
         """Give back what is not in use of one resource."""
-        portion = self.portion_by_name.get(name)
-        if portion is not None:
-            portion.held = min(portion.held, portion.used)
-            if not portion.held and not portion.used:
-                del self.portion_by_name[name]
+        self._change(name, -self._idle.get(name, 0))
 
     def clear(self) -> None:
-        """Give all idle portions back, as after the end of the lease."""
-        for portion in self.portion_by_name.values():
-            portion.held = 0
-        self._drop_empty()
+        """Give all portions back, as after the end of the lease; slots in use stay in use."""
+        self.apply({})
 
     def total_held(self) -> int:
         """Return the sum of the held portions."""
-        return sum(portion.held for portion in self.portion_by_name.values())
+        return self._held
 
     def holdings(self) -> tuple[Holding, ...]:
         """Return the portions for a report."""
         return tuple(Holding(name, p.held, p.used) for name, p in self.portion_by_name.items())
 
-    def _portion(self, name: str) -> Portion:
-        return self.portion_by_name.setdefault(name, Portion())
-
-    def _drop_empty(self) -> None:
-        for name in [n for n, p in self.portion_by_name.items() if not p.held and not p.used]:
+    def _of(self, name: str) -> Portion:
+        return self.portion_by_name.get(name) or Portion()
+
+    def _change(self, name: str, held: int = 0, used: int = 0) -> None:
+        """Add to a portion, and to the sums that include it."""
+        portion = self.portion_by_name.setdefault(name, Portion())
+        portion.held += held
+        portion.used += used
+        self._held += held
+        if portion.idle > 0:
+            self._idle[name] = portion.idle
+        else:
+            self._idle.pop(name, None)
+        if not portion.held and not portion.used:
             del self.portion_by_name[name]
