--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -28,7 +28,7 @@
 _KEPT_REPORTS = 100
 # Without a coordinator nobody can grant released slots to others, and a new one restores only what
 # the routers still hold.
-_SILENT_INTERVALS = 5
+_SILENT_INTERVALS = 2
 
 
 @dataclass(slots=True, frozen=True)
