--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/machine.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/machine.py
@@ -60,6 +60,15 @@
         for _ in range(count):
             self.fleet.submit(router, member, idempotent, seconds)
 
+    @rule(first=_ROUTER, second=_ROUTER, gap_s=st.sampled_from((0.15, 0.3, 0.6)))
+    def shift_demand(self, first: str, second: str, gap_s: float) -> None:
+        """Move the demand from one router to another while grants and reports are on their way."""
+        for router in (first, second, first):
+            for member in MEMBERS:
+                for _ in range(4):
+                    self.fleet.submit(router, member, False, 2.0)
+            self.fleet.world.advance(gap_s)
+
     @rule(calls_per_s=_LOADS)
     def change_load(self, calls_per_s: float) -> None:
         """Let callers send calls of all kinds to all routers."""
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/plants.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/plants.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable, Iterator
 from unittest import mock
 
+import msgspec
 import parsleyrudder as pr
 
 __all__ = ["PLANTS", "planted"]
 
+_ANY_GRANT = 10**9
+
 
 def _retry_after_first_byte() -> contextlib.AbstractContextManager:
     """Retry every failed attempt as if the call were idempotent."""
@@ -43,13 +46,13 @@
 
 
 def _count_portion_twice() -> contextlib.AbstractContextManager:
-    """Forget the unacknowledged grant when a report arrives, so that its portion is free again."""
-    take = pr.Ledger.reported
+    """Take every grant for applied, so that portions on their way to a router count as free."""
+    take = pr.Coordinator.on_report
 
-    def reported(ledger: pr.Ledger, router: str, holdings: tuple, acknowledged: bool) -> None:
-        take(ledger, router, holdings, True)
+    def on_report(coordinator: pr.Coordinator, report: pr.Report, now: float) -> list:
+        return take(coordinator, msgspec.structs.replace(report, grant=_ANY_GRANT), now)
 
-    return mock.patch.object(pr.Ledger, "reported", reported)
+    return mock.patch.object(pr.Coordinator, "on_report", on_report)
 
 
 PLANTS: dict[str, Callable[[], contextlib.AbstractContextManager]] = {
