End the flood's callers for certain, and bound every run

Cause: asyncio.wait_for of Python 3.11 may swallow a cancellation that comes when its call ends.

Change: asyncio.timeout instead of wait_for, the callers look at the count of cancellations, and a run ends with an error 90 s after its planned end.

--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_load.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_load.py
@@ -150,8 +150,11 @@
         rng = random.Random(name)
         caller = Caller(member, [])
         position = number = 0
+        task = asyncio.current_task()
+        assert task is not None
         with contextlib.suppress(asyncio.CancelledError):
-            while not self._stopping:
+            # A cancellation that meets the end of a call may be lost; its count is not.
+            while not self._stopping and not task.cancelling():
                 number += 1
                 router = routers[position % len(routers)]
                 outcome = await self._call(caller, router, f"m{name}-{number}", rng)
@@ -178,12 +181,10 @@
         result = CallResult(id, caller.member, code="caller_timeout")
         try:
             with contextlib.suppress(TimeoutError):
-                result = await asyncio.wait_for(
-                    caller.chat(
+                async with asyncio.timeout(_CALL_LIMIT_S):
+                    result = await caller.chat(
                         id, self.pool, prompt, tokens, address=address, exact=True, batch=batch
-                    ),
-                    _CALL_LIMIT_S,
-                )
+                    )
         finally:
             self.outstanding[caller.member, router] -= 1
         if result.outcome == "answered" and result.tokens != tokens:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/measure_run.py
@@ -27,6 +27,7 @@
 """Name of the ideal: one router that all callers use, with policy ``fair``."""
 
 _SAMPLE_S = 0.5
+_SLACK_S = 90.0
 _PROMPT_TOKENS = 10
 _PROMPT_WEIGHT = 0.1
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -112,10 +113,16 @@
     with Fleet(deployment, routers, pool_settings=settings) as fleet:
         addresses = [router.address for router in fleet.router_by_name.values()]
         load = Load(pool.name, addresses, options.costs, options.batch_part, options.seed)
-        asyncio.run(_Run(result, fleet, load).drive())
+        asyncio.run(_bounded(_Run(result, fleet, load), options))
     return result
 
 
+async def _bounded(course: "_Run", options: RunOptions) -> None:
+    """End a run that takes too long, so that no load goes on for ever."""
+    async with asyncio.timeout(options.warm_up_s + options.seconds + _SLACK_S):
+        await course.drive()
+
+
 def _adapt_pool(deployment: Deployment, options: RunOptions) -> PoolSpec:
     """Set the token rate and the size of the deployment's engine pool."""
     pool = deployment.pool("engine")
