Split the coordinator and share the traffic of leases

Change: changes of portions are functions of their own, the interactive reserve belongs to the backlog, and LeaseTask runs any lease.

--- a/packages/parsleyrudder/parsleyrudder/sharing/backlog.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/backlog.py
@@ -4,6 +4,8 @@
 """
 
 import heapq
+import math
+import zlib
 from dataclasses import dataclass, field
 
 from ..lists import Plan
@@ -77,6 +79,19 @@
         counters.queue.add(call, first)
         heapq.heappush(self._expiry, (min(call.queue_until, call.deadline), call.id))
 
+    def may_start_batch(self, held: int, reserve: float, router: str) -> bool:
+        """Whether a batch call may start: the reserve counts running batch calls only.
+
+        The part below a whole slot is rounded up at some routers and down at others, by their
+        names, so that the reserves of many small portions add up to about the pool's.
+
+        :param held: slots that the router holds.
+        :param reserve: part of them that only interactive calls may use.
+        """
+        dither = zlib.crc32(router.encode()) / 2**32
+        reserved = math.floor(reserve * held + dither)
+        return self.batch_running < held - min(reserved, held - 1)
+
     def start(self, call: WaitingCall, server: str, now: float) -> None:
         """Move a waiting call to the running ones."""
         self._drain_by_member[call.member].left(now, waited=now > call.submitted_at)
--- a/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/coordination.py
@@ -3,14 +3,13 @@
 It owns the ledger of portions and the service totals of its pool. It never sees a call.
 """
 
-import heapq
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..messages import Grant, Report
-from .ordering import split
 from .pool_rules import PoolRules
+from .portion_changes import change_concurrency, change_slots
 from .portions import Ledger, LostPortions
 from .server_loads import ServerLoads
 from .targets import Targets, compute_targets
@@ -388,48 +387,9 @@
         """Change a router's portions, unless it has not confirmed the last change yet."""
         if router.acknowledged < router.number:
             return
-        slots_changed = self._change_slots(name)
-        if self._change_concurrency(name, router) or slots_changed:
+        slots_changed = change_slots(self.slots, name, self._target(name))
+        concurrency_changed = change_concurrency(
+            self.concurrency, self.totals, name, router.members
+        )
+        if slots_changed or concurrency_changed:
             router.number = router.seen.number = router.number + 1
-
-    def _change_slots(self, name: str) -> bool:
-        """Grant unassigned slots up to the target, from the server with most of them first."""
-        changed = False
-        for server, count in self.slots.granted_to(name).items():
-            excess = self.slots.excess(server)
-            if excess:
-                self.slots.grant(server, name, max(0, count - excess))
-                changed = True
-        missing = self._target(name) - self.slots.granted_total(name)
-        if missing <= 0 or not self.slots.has_free():
-            return changed
-        heap = [(-free, server) for server, free in self.slots.free_by_name().items()]
-        heapq.heapify(heap)
-        while missing > 0 and heap:
-            free, server = heap[0]
-            self.slots.grant(server, name, self.slots.granted(server, name) + 1)
-            changed = True
-            missing -= 1
-            if self.slots.free(server):
-                heapq.heapreplace(heap, (min(-1, free + 1), server))
-            else:
-                heapq.heappop(heap)
-        return changed
-
-    def _change_concurrency(self, name: str, router: _Router) -> bool:
-        """Grant what the router's calls can use; take idle parts back where others need them."""
-        changed = False
-        for member in router.members:
-            running, waiting = self.totals.running(member), self.totals.waiting(member)
-            limit = self.concurrency.limit_by_name.get(member, 0)
-            demand = self.totals.demand(member)
-            scarce = demand > limit or not self.concurrency.free(member)
-            useful = running.get(name, 0) + waiting.get(name, 0)
-            if scarce:
-                useful = split(min(demand, limit), running, waiting).get(name, 0)
-            granted = self.concurrency.granted(member, name)
-            wanted = min(useful, granted + self.concurrency.free(member))
-            if wanted > granted or (wanted < granted and scarce):
-                self.concurrency.grant(member, name, wanted)
-                changed = True
-        return changed
--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import zlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -171,9 +170,12 @@
             counters = self.order.pop(self._backlog.waiting)
             if counters is None:
                 break
+            batch_allowed = self._backlog.may_start_batch(
+                self.slots.total_held(), self.rules.interactive_reserve, self.router
+            )
             if not self._may_start(counters, now):
                 continue  # ordered again when a call of the member ends, and after each grant
-            call = counters.queue.head(self._is_batch_allowed())
+            call = counters.queue.head(batch_allowed)
             server = self._choose_server(call, idle, choose) if call else None
             if call is None or server is None:
                 blocked.append(counters)
@@ -346,17 +348,6 @@
         """Whether a member's concurrency allows another call."""
         return self.concurrency.idle(counters.member, now) > 0
 
-    def _is_batch_allowed(self) -> bool:
-        """Whether a batch call may start: the reserve counts running batch calls only.
-
-        The part below a whole slot is rounded up at some routers and down at others, by their
-        names, so that the reserves of many small portions add up to about the pool's.
-        """
-        held = self.slots.total_held()
-        dither = zlib.crc32(self.router.encode()) / 2**32
-        reserve = math.floor(self.rules.interactive_reserve * held + dither)
-        return self._backlog.batch_running < held - min(reserve, held - 1)
-
     @staticmethod
     def _choose_server(call: WaitingCall, idle: Mapping[str, int], choose: Choose) -> str | None:
         allowed = {name: n for name, n in idle.items() if name not in call.excluded} or idle
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -173,6 +173,7 @@
             for call in pool.scheduler.running_calls():
                 log_event(_LOGGER, "call_cut", logging.WARNING, call=call.id, member=call.member)
             pool.stop()
+        self.spares_task.stop()
         self.fleet_task.unregister()
         # A connection that is accepted after this would end without an answer.
         self._front.stop_listening()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/pool_task.py
@@ -23,20 +23,17 @@
     SchedulerRules,
     ServerInfo,
     ServerTable,
-    TableError,
-    Txn,
-    TxnResult,
     WaitingCall,
     WindowRules,
     failure,
     normalised_shares,
-    rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.settings import PoolSettings, SpareSettings
 from parsleyrudder_adapters.timers import Timer
 
 from .context import Context
+from .lease_task import LeaseTask
 
 __all__ = ["PoolTask", "PoolUser"]
 
@@ -90,6 +87,7 @@
         self.lease = CoordinatorLease(
             settings.name, context.name, context.incarnation, started_at=context.now()
         )
+        self._lease_task = LeaseTask(context, self.lease, self._check_coordinator)
         self._learned = LearnedWindows(WindowRules(settings.window_min))
         self._user_by_call: dict[str, PoolUser] = {}
         self._timer: Timer | None = None
@@ -213,13 +211,13 @@
         self.scheduler.concurrency.clear()
         self._send_report()
         clean = self.coordinator is not None and self.coordinator.is_clean()
-        txn = self.lease.resign(clean and not self.scheduler.running_total())
-        if txn is not None:
-            self._context.table.txn(txn, lambda result: None)
+        self._lease_task.resign(clean and not self.scheduler.running_total())
 
     def _housekeeping(self) -> None:
         now = self._context.now()
-        self._lease_step(now)
+        if not self._stopping:
+            routers = self.coordinator.routers() if self.coordinator is not None else ()
+            self._lease_task.step(now, routers)
         if self.coordinator is not None and self.lease.may_grant(now):
             self._deliver(self.coordinator.tick(now))
         for call, reason in self.scheduler.expire(now):
@@ -228,40 +226,6 @@
             self.refuse_waiting(self.cut_off())
         self._pump()
 
-    def _lease_step(self, now: float) -> None:
-        if self._stopping:
-            return
-        candidate = self._is_candidate(self._context.view.staying(now), now)
-        view = {*self._context.view.live(now)}
-        if self.coordinator is not None:
-            view |= self.coordinator.routers()
-        txn = self.lease.next_txn(now, candidate, view)
-        if txn is not None:
-            self._run_lease_txn(txn, now)
-
-    def _is_candidate(self, view: list[str], now: float) -> bool:
-        """Whether this router should hold the lease: the present holder, or the first by hash.
-
-        A holder whose lease has lapsed is passed over before it leaves the view, because portions
-        end sooner than the view notices its silence.
-        """
-        holder = self.lease.record.holder if self.lease.record else ""
-        if holder in view and (holder == self._context.name or not self.lease.has_lapsed(now)):
-            return holder == self._context.name
-        others = [name for name in view if name != holder]
-        return next(iter(rendezvous(self.name, others)), "") == self._context.name
-
-    def _run_lease_txn(self, txn: Txn, sent_at: float) -> None:
-        def done(result: TxnResult | TableError) -> None:
-            up = not isinstance(result, TableError)
-            if self._context.table_health.note(up):
-                log_event(_LOGGER, "table_up" if up else "table_down", pool=self.name)
-            if isinstance(result, TxnResult):
-                self.lease.on_result(txn, result, sent_at, self._context.now())
-                self._check_coordinator()
-
-        self._context.table.txn(txn, done)
-
     def _check_coordinator(self) -> None:
         """Begin or end coordination as the lease says."""
         if not self.lease.is_acting():
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/spares_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/spares_task.py
@@ -23,11 +23,11 @@
     TableError,
     Txn,
     TxnResult,
-    rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
 
 from .context import Context
+from .lease_task import LeaseTask
 from .orders_task import OrderGiver, audit_record, wanted_by
 from .pool_task import PoolTask
 
@@ -59,6 +59,7 @@
             )
         )
         self._lease = CoordinatorLease(_SPARES, context.name, context.incarnation)
+        self._lease_task = LeaseTask(context, self._lease, lambda: None)
         self._row_by_spare: dict[str, Placement] = {}
         self._revision_by_spare: dict[str, int] = {}
         self._backlog_seen: dict[str, tuple[int, float]] = {}
@@ -68,10 +69,14 @@
         if self._spare_by_id:
             self._context.timers.every(_INTERVAL_S, self._step)
 
+    def stop(self) -> None:
+        """Give the lease up, if this router holds it."""
+        self._lease_task.resign()
+
     def _step(self) -> None:
         now = self._context.now()
         coordinated = [pool for pool in self._pool_by_name.values() if pool.lease.is_valid(now)]
-        self._step_lease(now)
+        self._lease_task.step(now)
         puts = tuple(
             Put(_BACKLOG + pool.name, msgspec.json.encode(pool.waiting_per_slot()))
             for pool in coordinated
@@ -80,20 +85,6 @@
             reads = (Range(_PLACEMENT, prefix=True), Range(_BACKLOG, prefix=True))
             self._context.table.txn(Txn((), puts, (), reads), self._on_rows)
 
-    def _step_lease(self, now: float) -> None:
-        view = self._context.view.staying(now)
-        holder = self._lease.record.holder if self._lease.record else ""
-        first = holder if holder in view else next(iter(rendezvous(_SPARES, view)), "")
-        txn = self._lease.next_txn(now, first == self._context.name, view)
-        if txn is None:
-            return
-
-        def done(result: TxnResult | TableError) -> None:
-            if isinstance(result, TxnResult):
-                self._lease.on_result(txn, result, now, self._context.now())
-
-        self._context.table.txn(txn, done)
-
     def _on_rows(self, result: TxnResult | TableError) -> None:
         if isinstance(result, TableError):
             return
