--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -66,11 +66,15 @@
 
 
 class Holding(_Part, frozen=True):
-    """What a router holds of one resource (a server's slots or a member's concurrency)."""
+    """What a router holds of one resource (a server's slots or a member's concurrency).
+
+    :ivar least: least number used at any time since the report before.
+    """
 
     name: str
     held: int
     used: int
+    least: int = 0
 
 
 class Report(_Message, frozen=True):
--- a/packages/parsleyrudder/parsleyrudder/sharing/portions.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/portions.py
@@ -266,6 +266,7 @@
 
     held: int = 0
     used: int = 0
+    least: int = 0
 
     @property
     def idle(self) -> int:
@@ -349,8 +350,16 @@
         return self._held
 
     def holdings(self) -> tuple[Holding, ...]:
-        """Return the portions for a report."""
-        return tuple(Holding(name, p.held, p.used) for name, p in self.portion_by_name.items())
+        """Return the portions as they are now."""
+        portions = self.portion_by_name.items()
+        return tuple(Holding(name, p.held, p.used, p.least) for name, p in portions)
+
+    def report(self) -> tuple[Holding, ...]:
+        """Return the portions for a report, and begin anew to watch for the least use."""
+        result = self.holdings()
+        for portion in self.portion_by_name.values():
+            portion.least = portion.used
+        return result
 
     def _of(self, name: str) -> Portion:
         return self.portion_by_name.get(name) or Portion()
@@ -360,6 +369,7 @@
         portion = self.portion_by_name.setdefault(name, Portion())
         portion.held += held
         portion.used += used
+        portion.least = min(portion.least, portion.used)
         self._held += held
         if portion.idle > 0:
             self._idle[name] = portion.idle
--- a/packages/parsleyrudder/parsleyrudder/sharing/server_loads.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/server_loads.py
@@ -28,7 +28,8 @@
 
     def note(self, router: str, holdings: Iterable[Holding], now: float) -> None:
         """Take a router's report of the slots that it uses."""
-        used_by_server = {holding.name: holding.used for holding in holdings}
+        # A call may end and another begin between two reports, so the least number counts.
+        used_by_server = {holding.name: holding.least for holding in holdings}
         for server in used_by_server.keys() | self._uses.keys():
             uses = self._uses.setdefault(server, {}).setdefault(router, deque())
             used = used_by_server.get(server, 0)
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_takeover.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_takeover.py
@@ -7,7 +7,7 @@
 
 
 def report(sender, seq, held, used=0, grant=0, epoch=1, incarnation=1):
-    slots = (pr.Holding("s", held, used),) if held or used else ()
+    slots = (pr.Holding("s", held, used, used),) if held or used else ()
     return pr.Report(
         pool="p",
         sender=sender,
