--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_admission.py
@@ -202,12 +202,16 @@
     assert router.scheduler.slots.total_held() == 4
 
 
+@pytest.mark.parametrize("noticed_first", [True, False])
 @pytest.mark.parametrize(("pause_s", "expected_s"), [(0.5, 0.6), (5.0, 0.1)])
-def test_pause_of_the_process_teaches_no_duration(pause_s, expected_s):
-    """Guards against refusals after a pause: the call that ran meanwhile seems to be long."""
+def test_pause_of_the_process_teaches_no_duration(pause_s, expected_s, noticed_first):
+    """Guards against refusals after a pause: the call that ran meanwhile seems to be long.
+
+    The end of that call may be the first event after the pause.
+    """
     durations = DurationEstimator()
     durations.learn("a", "chat", 0.1, 0.0)
-    for now in (0.5, 1.0, 1.0 + pause_s):
+    for now in (0.5, 1.0, 1.0 + pause_s) if noticed_first else (0.5, 1.0):
         durations.alive(now)
     durations.learn("a", "chat", 0.1 + pause_s, 1.05 + pause_s)
     learned = durations.expected_s("a", "chat", 1.1 + pause_s)
--- a/packages/parsleyrudder/parsleyrudder/sharing/waits.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/waits.py
@@ -42,6 +42,7 @@
         A call that ran during a pause of this process says nothing: it would have the next calls
         refused for a duration that they do not need.
         """
+        self.alive(now)
         if now - duration_s < self._resumed_at:
             return
         mean, _ = self._mean_by_kind.get((member, kind), (duration_s, now))
