--- a/packages/parsleyrudder_standins/parsleyrudder_standins/relay_processes.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/relay_processes.py
@@ -28,7 +28,7 @@
 
 def _event(length: int) -> bytes:
     choice = {"index": 0, "delta": {"content": "@"}, "finish_reason": None}
-    text = b"data: " + json.dumps({"id": "call", "choices": [choice]}).encode() + b"\n\n"
+    text = b"data: " + json.dumps({"object": "chunk", "choices": [choice]}).encode() + b"\n\n"
     return text.replace(b"@", b"w" * (length - len(text) + 1))
 
 
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_fleet.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_fleet.py
@@ -3,14 +3,25 @@
 import random
 import time
 
-from parsleyrudder import FleetView, RouterInfo, decode_message, encode_message
+from parsleyrudder import (
+    Config,
+    FleetView,
+    Member,
+    Plan,
+    RouterInfo,
+    decode_message,
+    encode_message,
+    key_digest,
+)
 from parsleyrudder.messages import Gossip
 
 from .slopes_fit import Series
+from .slopes_memory import deep_size
 
 __all__ = ["fleet_series"]
 
 _SIZES = (3, 8, 32, 100, 300, 600, 1200)
+_MEMBERS = (16, 100, 400, 1000, 2000, 3800)
 _MESSAGES = 30
 _FAN_OUT = 2
 _READERS = 2
@@ -23,6 +34,7 @@
     size = Series("gossip/bytes", "routers", "bytes of a gossip message")
     spread = Series("spread/rounds", "routers", "mean rounds until all have a new version")
     longest = Series("spread/longest", "routers", "most rounds until all have a new version")
+    view = Series("view/memory", "routers", "KiB of a router's view of the fleet")
     rng = random.Random(seed)
     for count in _SIZES:
         seconds, length = _gossip_cost(count, rng)
@@ -31,7 +43,19 @@
         rounds = [_spread_rounds(count, rng) for _ in range(_SPREADS)]
         spread.add(count, sum(rounds) / len(rounds))
         longest.add(count, max(rounds))
-    return [cost, size, spread, longest]
+        view.add(count, deep_size(_view(0, [_info(index) for index in range(count)])) / 1024)
+    return [cost, size, spread, longest, view, _config_memory()]
+
+
+def _config_memory() -> Series:
+    """Measure the memory of a configuration, keys' digests included."""
+    series = Series("config/memory", "members", "KiB of a configuration")
+    plan = Plan("plan", ("pool",), 10, 5.0, 100.0, 50.0, 10, 3.0)
+    for count in _MEMBERS:
+        names = [f"member-{index:04d}" for index in range(count)]
+        members = {name: Member(name, "plan", 1.0, key_digest(name)) for name in names}
+        series.add(count, deep_size(Config(1, members, {"plan": plan})) / 1024)
+    return series
 
 
 def _info(index: int) -> RouterInfo:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_sharing.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/slopes_sharing.py
@@ -2,10 +2,8 @@
 
 import gc
 import random
-import sys
 import time
 from dataclasses import dataclass
-from types import FunctionType, ModuleType
 
 from parsleyrudder import (
     Config,
@@ -23,6 +21,7 @@
 )
 
 from .slopes_fit import Series
+from .slopes_memory import deep_size
 
 __all__ = ["sharing_series"]
 
@@ -169,20 +168,5 @@
         "dispatch": 1e6 * sums.dispatch_s / max(1, sums.calls),
         "report_bytes": sums.report_bytes / sums.reports,
         "grant_bytes": sums.grant_bytes / max(1, sums.grants),
-        "memory": _deep_size(cell.coordinator, first) / 1024,
+        "memory": deep_size(cell.coordinator, first) / 1024,
     }
-
-
-def _deep_size(*roots: object) -> int:
-    """Return the bytes of all objects that some objects refer to, each counted once."""
-    seen: set[int] = set()
-    stack: list[object] = list(roots)
-    total = 0
-    while stack:
-        item = stack.pop()
-        if id(item) in seen or isinstance(item, type | ModuleType | FunctionType):
-            continue
-        seen.add(id(item))
-        total += sys.getsizeof(item)
-        stack.extend(gc.get_referents(item))
-    return total
