--- a/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/scheduling.py
@@ -260,16 +260,14 @@
 
     def report_due(self, now: float) -> bool:
         """Whether a report should be sent now."""
-        since = now - self._reported_at
-        if self._urgent:
-            return since >= self.rules.early_gap_s
-        idle = not (self._news or self._backlog.running or self._backlog.waiting or self._uncounted)
-        intervals = self.rules.keep_alive_intervals if idle else 1
-        return since >= self.rules.report_interval_s * intervals
+        return self.next_report_in(now) <= 0
 
     def next_report_in(self, now: float) -> float:
         """Return the seconds until a report will be due if nothing happens."""
-        gap = self.rules.early_gap_s if self._urgent else self.rules.report_interval_s
+        idle = not (self._news or self._backlog.running or self._backlog.waiting or self._uncounted)
+        gap = self.rules.report_interval_s * (self.rules.keep_alive_intervals if idle else 1)
+        if self._urgent:
+            gap = self.rules.early_gap_s
         return max(0.0, self._reported_at + gap - now)
 
     def report(self, now: float, table_up: bool) -> Report:
--- a/packages/parsleyrudder/parsleyrudder/sharing/tests/test_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/sharing/tests/test_admission.py
@@ -216,3 +216,15 @@
     durations.learn("a", "chat", 0.1 + pause_s, 1.05 + pause_s)
     learned = durations.expected_s("a", "chat", 1.1 + pause_s)
     assert learned == pytest.approx(0.1 + 0.2 * (expected_s - 0.1))
+
+
+@pytest.mark.parametrize(("busy", "expected_s"), [(False, 0.3), (True, 0.0)])
+def test_idle_router_is_not_woken_before_its_next_report(busy, expected_s):
+    """Guards against a timer that fires again at once while no report is due."""
+    scheduler = PoolScheduler("r1", 1, "pool", SchedulerRules(), CostEstimator(1.0))
+    scheduler.set_config(config_of({"a": 1.0}))
+    scheduler.report(1.0, True)
+    if busy:
+        scheduler.submit(WaitingCall("c", "a", "chat", True, 1.0, 30.0), 1.1)
+    assert scheduler.next_report_in(1.2) == pytest.approx(expected_s, abs=1e-9)
+    assert scheduler.report_due(1.2) == busy
