Leave instances that are gone out of the coordinator's majority

Cause: of a fleet of two whose first router died nobody could become coordinator, since the survivor is no majority of the last view; the list of gone instances had no input. Change: an instance that the instance list has shown and shows no more is left out of the views.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/context.py
@@ -50,6 +50,7 @@
 
     :ivar send: sends a message to a router by name.
     :ivar keys: idempotency keys; set by the application object.
+    :ivar gone: instances that the instance list has shown and shows no more.
     :ivar config: the configuration in force; replaced as a whole by the configuration task.
     """
 
@@ -63,6 +64,7 @@
     send: Callable[[str, Message], None]
     metrics: Metrics = field(default_factory=Metrics)
     table_health: TableHealth = field(default_factory=TableHealth)
+    gone: frozenset[str] = frozenset()
     config: Config = field(default_factory=Config)
     keys: "KeyTask" = field(init=False)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
@@ -83,6 +83,7 @@
         self._heartbeat = 0
         self._outlived = False
         self._listed: frozenset[str] = frozenset()
+        self._ever_listed: set[str] = set()
         self._drained: frozenset[str] = frozenset()
         self._rows = RowWatcher()
         self._revision_by_name: dict[str, int] = {}
@@ -213,6 +214,8 @@
             reason = instances.message
             log_event(_LOGGER, "instance_list_down", logging.WARNING, reason=reason)
             return
+        self._ever_listed |= {item.id for item in instances}
+        self._context.gone = frozenset(self._ever_listed - {item.id for item in instances})
         leaving = frozenset(item.id for item in instances if item.state == "leaving")
         for name in leaving:
             self._context.view.mark_leaving(name)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/lease_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/lease_task.py
@@ -31,6 +31,7 @@
 
         :param others: routers that belong to the recorded view besides the live ones.
         """
+        self._lease.gone = self._context.gone
         view = {*self._context.view.live(now), *others}
         txn = self._lease.next_txn(now, self._is_candidate(now), view)
         if txn is None:
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/instances.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/instances.py
@@ -12,7 +12,8 @@
 class InstanceListStandIn:
     """States of instances; a change shows after a lag.
 
-    ``POST /standin/state`` with ``{"id": ..., "state": ...}`` changes a state.
+    ``POST /standin/state`` with ``{"id": ..., "state": ...}`` changes a state; the state ``gone``
+    removes the entry.
     ``POST /standin/fault`` with ``{"mode": ...}`` sets a fault: ``up``, ``down`` (connections are
     cut), ``hang``, ``fail`` (status 500), ``garbage`` (each answer has the body ``body``).
     """
@@ -48,6 +49,9 @@
             return
         while self._changes and self._changes[0][0] <= time.monotonic():
             _, id, state = self._changes.popleft()
-            self._state_by_id[id] = state
+            if state == "gone":
+                self._state_by_id.pop(id, None)
+            else:
+                self._state_by_id[id] = state
         instances = [{"id": id, "state": state} for id, state in self._state_by_id.items()]
         await reply.send_json(200, instances)
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -203,7 +203,7 @@
             specs.append({"kind": "engine", "port": port, **parameters})
         if specs:
             self._start_standin("spares", specs)
-        ids = list(self.address_by_server)
+        ids = [*self.address_by_server, *map(_router_name, range(self.routers))]
         instances = {"kind": "instances", "port": instances_port, "ids": ids, "lag_s": 0.5}
         self._start_standin("platform", [{"kind": "table", "port": table_port}, instances])
         for address in (self.table_address, self.instances_address):
@@ -225,7 +225,7 @@
         ports = iter(free_ports(2 * self.routers))
         domains = self.deployment.failure_domains
         for index in range(self.routers):
-            name = f"router-{index + 1}"
+            name = _router_name(index)
             domain = domains[index % len(domains)]
             settings, log = self.folder / f"{name}.toml", self.folder / f"{name}.log"
             router = RouterProcess(name, domain, next(ports), next(ports), settings, log)
@@ -298,6 +298,10 @@
         }
 
 
+def _router_name(index: int) -> str:
+    return f"router-{index + 1}"
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback interface that are free now."""
     with contextlib.ExitStack() as stack:
