--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,5 @@
 
 slopes: $(VENV)/.installed
 	$(BIN)/python -m parsleyrudder_standins.slopes --seed=$(SEED)
+	$(BIN)/python -m parsleyrudder_standins.spread_time --deployment=$(DEPLOYMENT)
+	$(BIN)/python -m parsleyrudder_standins.relay_cost --streams=200 --chunks=200 --calls=50
