Remove code that nothing uses

Cause: an error class, the gauges of the metrics and a property of the fuzzer's network were left from first drafts. Change: they are gone; behaviour stays as it is.

--- a/packages/parsleyrudder/parsleyrudder/errors.py
+++ b/packages/parsleyrudder/parsleyrudder/errors.py
@@ -4,7 +4,6 @@
 """
 
 __all__ = [
-    "ConfigConflictError",
     "ListError",
     "RudderError",
     "SettingsError",
@@ -46,12 +45,6 @@
         self.path = path
 
 
-class ConfigConflictError(RudderError):
-    """A newer configuration was accepted after the one that a change is based on."""
-
-    code = "conflict"
-
-
 class TableError(RudderError):
     """The table service did not answer a request.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/metrics.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/metrics.py
@@ -20,7 +20,6 @@
 
     def __init__(self) -> None:
         self._counters: Counter[tuple[str, tuple[tuple[str, str], ...]]] = Counter()
-        self._gauges: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
         self._sums: dict[tuple[str, str], float] = {}
 
@@ -28,10 +27,6 @@
         """Add to a counter."""
         self._counters[name, tuple(sorted(labels.items()))] += amount
 
-    def gauge(self, name: str, value: float, **labels: str) -> None:
-        """Set a gauge."""
-        self._gauges[name, tuple(sorted(labels.items()))] = value
-
     def observe(self, name: str, pool: str, seconds: float) -> None:
         """Record a duration."""
         histogram = self._histograms.get((name, pool))
@@ -46,8 +41,6 @@
         lines = []
         for (name, labels), value in sorted(self._counters.items()):
             lines.append(f"rudder_{name}_total{_labels(labels)} {value:g}")
-        for (name, labels), level in sorted(self._gauges.items()):
-            lines.append(f"rudder_{name}{_labels(labels)} {level:g}")
         for (name, pool), histogram in sorted(self._histograms.items()):
             for quantile in _QUANTILES:
                 labels = (("pool", pool), ("quantile", f"{quantile:g}"))
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/world.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/fuzz/world.py
@@ -43,10 +43,6 @@
     repeats: float = 0.0
     most_delay_s: float = 0.002
 
-    def is_faulty(self) -> bool:
-        """Whether the network does more than to deliver."""
-        return self != NetworkRules()
-
 
 class MemoryTable:
     """The table service: transactions in order of their revisions.
