Let two routers watch the store and tell the others what they read

Now the first two by rendezvous watch and pass on pages with the store's own time; a router whose copy is older than 0.6 of the bound asks by itself, so a reader's death or a partition costs calls, never freshness.

Ruled out: passing news without store time (a suspended router would take old news for fresh).

--- a/packages/parsleyrudder/parsleyrudder/admission/loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/loads.py
@@ -4,7 +4,7 @@
 
 __all__ = ["LoadReport", "TargetLoads"]
 
-# A router that has not reported for so long is taken to send nothing.
+# Least time without a report after which a router is taken to send nothing.
 _REPORT_KEPT_S = 1.5
 # Weight of a new observation of a target's speed.
 _RATE_GAIN = 0.1
@@ -100,9 +100,13 @@
             if own.sent_by_request
         }
 
-    def expire(self, now: float) -> None:
-        """Drop the reports of routers that have fallen silent."""
-        for router in [r for r, (at, _) in self._reported.items() if now - at > _REPORT_KEPT_S]:
+    def expire(self, now: float, kept_s: float = _REPORT_KEPT_S) -> None:
+        """Drop the reports of routers that have fallen silent.
+
+        :param kept_s: time for which a report counts, some report intervals of the fleet.
+        """
+        limit_s = max(kept_s, _REPORT_KEPT_S)
+        for router in [r for r, (at, _) in self._reported.items() if now - at > limit_s]:
             self._count_others(router, -1)
             del self._reported[router]
 
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -19,10 +19,12 @@
     "MemberReport",
     "MemberTotal",
     "Message",
+    "NewsRow",
     "ReadParts",
     "Report",
     "RouterInfo",
     "RouterState",
+    "TableNews",
     "TargetLoadEntry",
     "UsageEntry",
     "decode_message",
@@ -278,7 +280,35 @@
     read_parts: tuple[ReadParts, ...] = ()
 
 
-Message = Report | Grant | Gossip | ConfigRequest | ConfigReply | LoadMessage
+class NewsRow(_Part, frozen=True):
+    """A row as a router has read it from the store."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class TableNews(_Message, frozen=True):
+    """An answer of the store to a router that watches a table for others.
+
+    :ivar after: revision that the changes follow.
+    :ivar revision: revision that they lead to.
+    :ivar store_time_s: steady time of the store when it answered.
+    :ivar is_whole: whether the changes are included; large ones are left to each router's own call.
+    :ivar removed: revisions of the removals, by the key of the removed row.
+    """
+
+    sender: str
+    table: str
+    after: int
+    revision: int
+    store_time_s: float
+    is_whole: bool = True
+    rows: tuple[NewsRow, ...] = ()
+    removed: dict[str, int] = {}
+
+
+Message = Report | Grant | Gossip | ConfigRequest | ConfigReply | LoadMessage | TableNews
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -92,11 +92,10 @@
             return
         self.bytes_out += len(data)
 
-    def disconnect(self, address: str) -> None:
-        """Close the socket to a router that has been forgotten."""
-        dealer = self._dealer_by_address.pop(address, None)
-        if dealer is not None:
-            dealer.close(0)
+    def keep(self, addresses: set[str]) -> None:
+        """Close the sockets to all other addresses, such as those of routers that were replaced."""
+        for address in self._dealer_by_address.keys() - addresses:
+            self._dealer_by_address.pop(address).close(0)
 
     def close(self) -> None:
         """Close all sockets; messages already handed over are still sent for a moment."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -46,6 +46,7 @@
 __all__ = ["RouterApp"]
 
 _LOGGER = logging.getLogger(__name__)
+_FORGET_LINKS_S = 10.0
 _STOP_CHECK_S = 0.05
 _GOODBYE_S = 0.3
 
@@ -124,6 +125,7 @@
         )
         self.config_task.start()
         self.fleet_task.start()
+        self.context.timers.every(_FORGET_LINKS_S, self._forget_links)
         self.context.keys.start()
         for pool in self.pool_by_name.values():
             pool.start()
@@ -207,6 +209,11 @@
         if info is not None and name != self.context.name:
             self._link.send(info.peer_address, message)
 
+    def _forget_links(self) -> None:
+        """Close the links to routers that the view has forgotten."""
+        peers = self.context.view.peers(self.context.now())
+        self._link.keep({info.peer_address for info in peers})
+
     def _on_config(self) -> None:
         for pool in self.pool_by_name.values():
             pool.config_changed()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -17,6 +17,7 @@
     RouterInfo,
     Row,
     SettingsError,
+    TableNews,
     Target,
     TrafficConfig,
     TrafficInForce,
@@ -124,10 +125,32 @@
         )
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.answer_s)
-        self._feed = feed
         self.peers = PeersTask(self.context, feed, decoder.router_table, rng)
         self._link = PeerLink(settings.peers, None, self._on_message).register(self)
         self.peers.link = self._link
+        self._watch_by_table = {
+            decoder.config_table: TableWatch(
+                feed,
+                timers,
+                self._watch_rules,
+                self.peers,
+                settings.name,
+                decoder.config_table,
+                lambda page, away: self._on_config(page),
+                self._on_config,
+                self.context.traffic.confirm,
+            ),
+            decoder.target_table: TableWatch(
+                feed,
+                timers,
+                self._watch_rules,
+                self.peers,
+                settings.name,
+                decoder.target_table,
+                self._on_targets,
+                self._on_target_changes,
+            ),
+        }
         self.api = RelayApi(self.context, rng, self._refusal)
         self._front = self._listen(settings.callers, self.api)
         self._sides = [
@@ -168,24 +191,8 @@
             callers=self._settings.callers,
             peers=self._settings.peers,
         )
-        timers = self.context.timers
-        TableWatch(
-            self._feed,
-            timers,
-            self._watch_rules,
-            self._decoder.config_table,
-            lambda page, away: self._on_config(page),
-            self._on_config,
-            self.context.traffic.confirm,
-        ).start()
-        TableWatch(
-            self._feed,
-            timers,
-            self._watch_rules,
-            self._decoder.target_table,
-            self._on_targets,
-            self._on_target_changes,
-        ).start()
+        for watch in self._watch_by_table.values():
+            watch.start()
         self.peers.start()
         self._expire()
         self._log_state()
@@ -246,7 +253,10 @@
         return front
 
     def _on_message(self, message: Message) -> None:
-        self.peers.on_message(message)
+        if not isinstance(message, TableNews):
+            self.peers.on_message(message)
+        elif message.table in self._watch_by_table:
+            self._watch_by_table[message.table].on_news(message)
 
     def _answer_ready(self, exchange: CallerExchange) -> None:
         if not self.context.dialect.is_ready_request(exchange.request):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -18,11 +18,14 @@
     ReadParts,
     RouterInfo,
     TableError,
+    TableNews,
     TargetLoadEntry,
     UsageEntry,
+    rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerLink
+from parsleyrudder_adapters.timers import Timer
 
 from .context import RelayContext, now
 
@@ -35,9 +38,17 @@
 # In larger fleets reports are rarer, so that what a router receives stays bounded.
 _ROUTERS_PER_REPORT_INTERVAL = 10
 _ROWS_S = 20.0
+# In larger fleets the rows are read more rarely, so that the fleet's calls stay bounded.
+_ROUTERS_PER_ROWS_INTERVAL = 7
 _FIRST_ROWS_S = 1.0
 _GOSSIP_PEERS = 2
 _SILENT_S = 1.0
+# Two, so that the others need not notice at once if one of them fails.
+_READERS = 2
+# Report intervals without a message after which callers are sent elsewhere.
+_SILENT_REPORTS = 2.5
+# Report intervals for which a router's reported load counts.
+_KEPT_REPORTS = 4.0
 _FORGET_ROW_S = 60.0
 
 
@@ -59,6 +70,7 @@
         self._unready_routers: set[str] = set()
         self._is_registered = False
         self._row_seen_at: dict[tuple[str, int], float] = {}
+        self._rows_timer: Timer | None = None
         self.link: PeerLink | None = None
         self.takes_calls = False
 
@@ -85,7 +97,8 @@
     def addresses(self) -> list[RouterInfo]:
         """Return the routers that callers should use; never none."""
         view, at = self._context.view, now()
-        live = [name for name in view.staying(at) if view.silence_s(name, at) < _SILENT_S]
+        limit_s = max(_SILENT_S, _SILENT_REPORTS * self._report_interval_s())
+        live = [name for name in view.staying(at) if view.silence_s(name, at) < limit_s]
         unready = set(self._unready_routers)
         if not self.takes_calls:
             unready.add(view.me.name)
@@ -93,6 +106,15 @@
         names = [name for name in live if name not in unready] or live or [view.me.name]
         return [info for info in map(view.info, names) if info is not None]
 
+    def is_reader(self) -> bool:
+        """See :class:`WatchPeers`."""
+        view = self._context.view
+        return view.me.name in rendezvous("table readers", view.staying(now()))[:_READERS]
+
+    def publish(self, news: TableNews) -> None:
+        """See :class:`WatchPeers`."""
+        self._send_to_all(news)
+
     def on_message(self, message: Message) -> None:
         """Take a message of a peer."""
         if isinstance(message, Gossip):
@@ -147,6 +169,9 @@
         addresses.discard(self._context.settings.peers)
         for address in sorted(addresses):
             self._send_gossip(address, reply=True)
+        if self.link is not None:
+            known = {info.peer_address for info in self._context.view.peers(now())}
+            self.link.keep(known | addresses)
 
     def _send_gossip(self, address: str, reply: bool) -> None:
         config = self._context.traffic.config
@@ -156,12 +181,15 @@
             self.link.send(address, message)
 
     def _report(self) -> None:
-        routers = len(self._context.view.live(now()))
-        interval_s = _REPORT_S * max(1.0, routers / _ROUTERS_PER_REPORT_INTERVAL)
+        interval_s = self._report_interval_s()
         self._context.timers.after(interval_s, self._report)
-        self._context.loads.expire(now())
+        self._context.loads.expire(now(), _KEPT_REPORTS * interval_s)
         self._send_report()
 
+    def _report_interval_s(self) -> float:
+        routers = len(self._context.view.live(now()))
+        return _REPORT_S * max(1.0, routers / _ROUTERS_PER_REPORT_INTERVAL)
+
     def _refresh(self) -> None:
         """Sum what was reported; not with each report, as a large fleet sends many."""
         self._context.timers.after(_REFRESH_S, self._refresh)
@@ -190,9 +218,13 @@
                 for lifetime, parts in news
             ),
         )
+        self._send_to_all(message)
+
+    def _send_to_all(self, message: Message) -> None:
+        """Send a message to all other routers that live."""
         if self.link is None:
             return
-        for name in self._context.view.live(at):
+        for name in self._context.view.live(now()):
             info = self._context.view.info(name)
             if info is not None and name != self._context.view.me.name:
                 self.link.send(info.peer_address, message)
@@ -212,8 +244,10 @@
         self._feed.put(self._table, self._context.settings.name, row, done)
 
     def _read_rows_later(self, delay_s: float) -> None:
+        if self._rows_timer is not None:
+            self._rows_timer.cancel()
         jitter = self._rng.uniform(0.8, 1.2)
-        self._context.timers.after(delay_s * jitter, self._read_rows)
+        self._rows_timer = self._context.timers.after(delay_s * jitter, self._read_rows)
 
     def _read_rows(self) -> None:
         if not self._is_registered:
@@ -225,7 +259,8 @@
         if isinstance(page, TableError):
             self._read_rows_later(_FIRST_ROWS_S)
             return
-        self._read_rows_later(_ROWS_S)
+        routers = len(self._context.view.live(now()))
+        self._read_rows_later(_ROWS_S * max(1.0, routers / _ROUTERS_PER_ROWS_INTERVAL))
         at = now()
         for row in page.rows:
             try:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -36,6 +36,8 @@
 _SILENCE_LATENCIES = 2.5
 _LEAST_SILENCE_S = 0.4
 _MOST_SILENCE_S = 1.8
+# A request at a silent target asks so often for budget to go elsewhere.
+_BUDGET_S = 0.2
 # Time before the deadline that is left for the answer's way back.
 _RETURN_S = 0.02
 
@@ -72,6 +74,8 @@
         self._silence: Timer | None = None
         self._began = False
         self._is_over = False
+        # Whether budget for the next repeat has been taken already.
+        self._has_repeat = False
         self._trace = RequestTrace(request.id)
         exchange.on_gone = self._on_gone
         left_s = max(0.0, waiting.deadline - now() - _RETURN_S)
@@ -220,8 +224,12 @@
 
     def _has_budget(self) -> bool:
         """Whether a repeat may be sent; a request that has reached no target needs no budget."""
-        if self._relay.sends == 0:
+        if self._relay.sends == 0 or self._has_repeat:
+            self._has_repeat = False
             return True
+        return self._take_budget()
+
+    def _take_budget(self) -> bool:
         return self.pool.budget.take(self.context.routers(), now())
 
     def _note_began(self) -> None:
@@ -265,8 +273,14 @@
             self._silence = self.context.timers.after(left_s, self._watch_silence_of_current)
             return
         repeats_left = self._relay.sends + 1 < self._relay.route.max_attempts
-        if repeats_left and self._attempt is not None:
-            self._drop_attempt(SendEnd.SILENT, f"nothing came for {limit_s:g} s")
+        if not repeats_left or self._attempt is None:
+            return
+        # Without budget for a repeat, the silent target is still the best hope for an answer.
+        if self._attempt.is_sent and not self._take_budget():
+            self._silence = self.context.timers.after(_BUDGET_S, self._watch_silence_of_current)
+            return
+        self._has_repeat = self._attempt.is_sent
+        self._drop_attempt(SendEnd.SILENT, f"nothing came for {limit_s:g} s")
 
     def _watch_silence_of_current(self) -> None:
         if self._attempt is not None and not self._is_over:
