--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/tests/test_table_watch.py
@@ -1,5 +1,7 @@
 """Watches of one table by several routers, without a network: calls made, and changes seen."""
 
+from typing import Any
+
 import pytest
 from parsleyrudder import FeedPage, Row, TableError
 from parsleyrudder_daemon.relay import table_watch
@@ -93,12 +95,12 @@
     """Watches of several routers; the first ones read for the others."""
 
     def __init__(self, monkeypatch, routers, readers):
-        self.clock = Clock()
+        self.clock: Any = Clock()
         monkeypatch.setattr(table_watch, "now", lambda: self.clock.now)
-        self.store = Store(self.clock)
+        self.store: Any = Store(self.clock)
         self.readers = {f"r{n}" for n in range(readers)}
         self.silent = set()
-        self.seen_at = {f"r{n}": {} for n in range(routers)}
+        self.seen_at: dict[str, dict[str, float]] = {f"r{n}": {} for n in range(routers)}
         self.confirmed_at = {}
         self.watch_by_name = {name: self._watch(name) for name in self.seen_at}
         for watch in self.watch_by_name.values():
