Refuse a chunk that declares too much when its size line is read

ChunkSizes follows the framing beside h11 (its private reader was ruled out); the two new rows of the front's table failed before. Answers that are collected are now bounded by 8 MB.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/guard.py
@@ -20,6 +20,7 @@
 
 from .caller_request import CallerRequest, GuardLimits
 from .caller_sockets import CallerSockets
+from .chunk_sizes import ChunkSizes
 from .logs import log_event
 from .timers import Timer, Timers
 
@@ -56,6 +57,8 @@
 
     :ivar input: bytes received and not parsed yet.
     :ivar scanned: number of bytes of ``input`` that were searched for the end of the head.
+    :ivar head_bytes: length of the head at the start of ``input``, until it is parsed.
+    :ivar chunks: sizes of the body's chunks, if it comes in chunks.
     :ivar parser: parser of the request whose head has been received.
     :ivar deadline: time at which the caller has taken too long; infinite during an answer.
     :ivar timer_due: when the timer fires; it is set anew then if the deadline has moved on.
@@ -63,6 +66,8 @@
 
     input: bytearray = field(default_factory=bytearray)
     scanned: int = 0
+    head_bytes: int = 0
+    chunks: ChunkSizes | None = None
     parser: h11.Connection | None = None
     request: h11.Request | None = None
     body: bytearray = field(default_factory=bytearray)
@@ -146,6 +151,7 @@
         assert connection.parser is not None
         connection.input[:0] = connection.parser.trailing_data[0]
         connection.parser = None
+        connection.chunks = None
         connection.request = None
         connection.body.clear()
         self.sockets.set_reading(sock, True)
@@ -191,9 +197,10 @@
         try:
             refusal = None if connection.parser else self._take_head(connection)
             if refusal is None and connection.parser is not None:
-                connection.parser.receive_data(bytes(connection.input))
+                data = bytes(connection.input)
                 connection.input.clear()
-                refusal = self._advance(sock, connection)
+                connection.parser.receive_data(data)
+                refusal = self._advance(sock, connection) or self._check_chunks(connection, data)
         except h11.RemoteProtocolError as error:
             refusal = failure("bad_request", f"not a valid HTTP/1.1 request: {error}")
         if refusal is not None:
@@ -229,6 +236,7 @@
         if len(lengths) > 1 or any(not _LENGTH_VALUE.fullmatch(value) for value in lengths):
             return failure("bad_request", "bad or repeated Content-Length")
         connection.scanned = 0
+        connection.head_bytes = length
         limit = self._limits.header_bytes
         connection.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
         return None
@@ -244,6 +252,8 @@
                 refusal = self._check_head(event)
                 if refusal is not None:
                     return refusal
+                if b"transfer-encoding" in dict(event.headers):
+                    connection.chunks = ChunkSizes()
                 if parser.they_are_waiting_for_100_continue:
                     self.sockets.write(sock, _CONTINUE)
             elif isinstance(event, h11.Data):
@@ -256,6 +266,16 @@
             else:
                 return None
 
+    def _check_chunks(self, connection: _Connection, data: bytes) -> Failure | None:
+        """Refuse a body whose chunks declare more than may be sent, before it has come."""
+        body = data[connection.head_bytes :]
+        connection.head_bytes = 0
+        if connection.chunks is None or connection.busy:
+            return None
+        if connection.chunks.feed(body) <= self._limits.body_bytes:
+            return None
+        return failure("body_too_large", f"body over {self._limits.body_bytes} bytes")
+
     def _check_head(self, request: h11.Request) -> Failure | None:
         names = [name for name, _ in request.headers]
         chunked = b"transfer-encoding" in names
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_front.py
@@ -164,6 +164,8 @@
     "chunks too large": (post(CHUNKED, b"1388\r\n%b\r\n" % (b"x" * 5000)), "body_too_large"),
     "short body": (post(b"Content-Length: 5", b"abc"), "request_timeout"),
     "short head": (b"GET / HTTP/1.1\r\nHost: h\r\n", "request_timeout"),
+    "chunk declared too large": (post(CHUNKED, b"FFFFFFFFFFFFFFFFF\r\n"), "body_too_large"),
+    "later chunk too large": (post(CHUNKED, b"2\r\nxy\r\nfff\r\n"), "body_too_large"),
     "no last chunk": (post(CHUNKED, b"1\r\nx\r\n"), "request_timeout"),
 }
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -38,6 +38,8 @@
 _MOST_SILENCE_S = 1.8
 # A request at a silent target asks so often for budget to go elsewhere.
 _BUDGET_S = 0.2
+# An answer that is no stream is collected before it is passed on, in the memory of the instance.
+_MOST_ANSWER_BYTES = 8 << 20
 # Time before the deadline that is left for the answer's way back.
 _RETURN_S = 0.02
 
@@ -164,6 +166,8 @@
         self._trace.note_heard(now())
         if isinstance(self._answer, CollectedAnswer):
             self._answer.body += data
+            if len(self._answer.body) > _MOST_ANSWER_BYTES:
+                self._drop_attempt(SendEnd.BROKEN, f"answer over {_MOST_ANSWER_BYTES} bytes")
             return
         events = self._frames.feed(data)
         if events and isinstance(self._answer, StreamedAnswer):
