--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 DEPLOYMENT ?= frio-nordeste
 SECONDS ?= 60
 SEED ?= 1
+SEEDS ?= 5
 PACKAGES := parsleyrudder parsleyrudder_adapters parsleyrudder_daemon parsleyctl parsleyrudder_standins
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
 
-.PHONY: demo fuzz measure relay-cost slopes test check format
+.PHONY: demo fuzz measure soak relay-cost slopes test check format
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -30,10 +31,14 @@
 fuzz: $(VENV)/.installed
 	$(BIN)/python -m parsleyrudder_standins.fuzz --seconds=$(SECONDS) --seed=$(SEED)
 
+# Fault soak of the relay, one seed after another.
+soak: $(VENV)/.installed
+	cd platform && ../$(BIN)/python -m parsleyrudder_soak --seed=$(SEED) --seeds=$(SEEDS) --folder=../target/soak
+
 check: $(VENV)/.installed
 	$(BIN)/black --check -q packages platform
 	$(BIN)/ruff check -q packages platform
-	$(BIN)/mypy packages platform/parsleyrudder_platform
+	$(BIN)/mypy packages platform/parsleyrudder_platform platform/parsleyrudder_soak
 
 format: $(VENV)/.installed
 	$(BIN)/black -q packages platform
--- a/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
@@ -23,11 +23,13 @@
     _tokens_by_part: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _tokens: int = 0
 
-    def uncached_tokens(self, work: Work) -> int:
+    def uncached_tokens(self, work: Work, parts: tuple[PromptPart, ...] | None = None) -> int:
         """Return the tokens of a prompt that have to be read.
 
         A part is of use only if all parts before it are kept too.
 
+        :param parts: the prompt's shared parts, if the caller has them already.
+
         >>> from parsleyrudder import PromptPart
         >>> cached = CachedParts(1000)
         >>> work = Work((PromptPart("a", 300), PromptPart("b", 50)), 350, 10)
@@ -38,11 +40,12 @@
         20
         """
         tokens = work.tokens_in
-        for part in work.shared_parts:
-            if part.id not in self._tokens_by_part:
+        kept = self._tokens_by_part
+        for part in work.shared_parts if parts is None else parts:
+            if part.id not in kept:
                 break
             tokens -= part.tokens
-        return max(0, tokens)
+        return tokens if tokens > 0 else 0
 
     def add(self, parts: Iterable[PromptPart]) -> None:
         """Note that the target reads parts."""
@@ -74,6 +77,20 @@
             cached = self._by_lifetime[lifetime] = CachedParts(capacity)
         return cached
 
+    def unread_tokens(self, work: Work, lifetimes: Iterable[str]) -> list[int]:
+        """Return the tokens of a prompt that each of some targets would have to read.
+
+        Asked for each decision and all targets, so it does not ask them one by one.
+        """
+        parts = work.shared_parts
+        if not parts:
+            return [work.tokens_in for _ in lifetimes]
+        unread = []
+        for lifetime in lifetimes:
+            cached = self._by_lifetime.get(lifetime)
+            unread.append(work.tokens_in if cached is None else cached.uncached_tokens(work, parts))
+        return unread
+
     def sent(self, lifetime: str, work: Work) -> None:
         """Note that this router sends a prompt to a target."""
         if work.shared_parts:
--- a/packages/parsleyrudder/parsleyrudder/admission/lanes.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/lanes.py
@@ -42,6 +42,9 @@
     _all: float = 0.0
     _decayed_at: float = 0.0
     _reported: dict[str, tuple[float, ReadingMix]] = field(default_factory=dict)
+    _others: ReadingMix = ReadingMix()
+    _ordered_ids: list[str] = field(default_factory=list)
+    _order: list[str] = field(default_factory=list)
 
     def is_long(self, tokens: int) -> bool:
         """Whether a prompt belongs into the lane."""
@@ -63,6 +66,16 @@
         """Take the newest sums of another router."""
         self._reported[router] = (now, mix)
 
+    def refresh(self, now: float) -> None:
+        """Sum the reports of the other routers anew."""
+        self._reported = {
+            router: (at, mix)
+            for router, (at, mix) in self._reported.items()
+            if now - at < _REPORT_KEPT_S
+        }
+        mixes = [mix for _, mix in self._reported.values()]
+        self._others = ReadingMix(sum(mix.long for mix in mixes), sum(mix.all for mix in mixes))
+
     def targets(self, ids: list[str], now: float) -> frozenset[str]:
         """Return the targets of the lane; empty if there are no long prompts.
 
@@ -71,16 +84,16 @@
         if len(ids) < 2:
             return frozenset()
         self._decay(now)
-        long, total = self._long, self._all
-        for at, mix in self._reported.values():
-            if now - at < _REPORT_KEPT_S:
-                long += mix.long
-                total += mix.all
+        long, total = self._long + self._others.long, self._all + self._others.all
         if long <= 0.0:
             return frozenset()
         part = min(_MOST_PART, long / total)
         count = max(1, round(part * len(ids)))
-        return frozenset(rendezvous("long prompts", ids)[:count])
+        if ids != self._ordered_ids:
+            # The order is asked for with each decision, but changes only with the targets.
+            self._ordered_ids = ids
+            self._order = rendezvous("long prompts", ids)
+        return frozenset(self._order[:count])
 
     def _decay(self, now: float) -> None:
         elapsed = now - self._decayed_at
--- a/packages/parsleyrudder/parsleyrudder/admission/loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/loads.py
@@ -25,9 +25,6 @@
     unread_tokens: int
 
 
-_NO_LOAD = LoadReport(0, 0)
-
-
 @dataclass(slots=True)
 class _Sent:
     unread_tokens: int
@@ -39,7 +36,6 @@
 class _OwnLoad:
     unread_tokens: int = 0
     sent_by_request: dict[str, _Sent] = field(default_factory=dict)
-    tokens_per_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -47,18 +43,22 @@
     """Loads by target id.
 
     :ivar prior_tokens_per_s: reading speed that is assumed of a target at first.
+    :ivar running_by_target: requests that all routers have at each target; to be read only.
     """
 
     prior_tokens_per_s: float = 50_000.0
+    running_by_target: dict[str, int] = field(default_factory=dict)
     _own: dict[str, _OwnLoad] = field(default_factory=dict)
     _reported: dict[str, tuple[float, dict[str, LoadReport]]] = field(default_factory=dict)
-    _others: dict[str, LoadReport] = field(default_factory=dict)
+    _unread: dict[str, int] = field(default_factory=dict)
+    _rates: dict[str, float] = field(default_factory=dict)
 
     def keep(self, ids: set[str]) -> None:
         """Forget idle targets that are not listed any more."""
         for id in [id for id, own in self._own.items() if id not in ids]:
             if not self._own[id].sent_by_request:
                 del self._own[id]
+                self._rates.pop(id, None)
 
     def sent(self, target: str, request: str, unread_tokens: int, now: float) -> None:
         """Count a request that is sent to a target."""
@@ -66,6 +66,7 @@
         ahead = self.unread_tokens(target)
         own.sent_by_request[request] = _Sent(unread_tokens, ahead, now)
         own.unread_tokens += unread_tokens
+        self._add(target, 1, unread_tokens)
 
     def began(self, target: str, request: str, now: float) -> None:
         """Note the first event of a request's answer: its prompt has been read."""
@@ -75,8 +76,9 @@
             return
         read = sent.ahead_tokens + sent.unread_tokens
         if read >= _LEAST_OBSERVED_TOKENS and now > sent.sent_at:
-            self._learn(own, read / (now - sent.sent_at))
+            self._learn(target, read / (now - sent.sent_at))
         own.unread_tokens -= sent.unread_tokens
+        self._add(target, 0, -sent.unread_tokens)
         sent.unread_tokens = 0
 
     def ended(self, target: str, request: str) -> None:
@@ -85,6 +87,7 @@
         sent = own.sent_by_request.pop(request, None) if own else None
         if own is not None and sent is not None:
             own.unread_tokens -= sent.unread_tokens
+            self._add(target, -1, -sent.unread_tokens)
 
     def take_report(self, router: str, report_by_target: dict[str, LoadReport], now: float) -> None:
         """Take the newest report of another router."""
@@ -112,39 +115,39 @@
 
     def running(self, target: str) -> int:
         """Return the requests that all routers have at a target."""
-        own, others = self._own.get(target), self._others.get(target)
-        count = len(own.sent_by_request) if own else 0
-        return count + (others.running if others else 0)
+        return self.running_by_target.get(target, 0)
 
     def unread_tokens(self, target: str) -> int:
         """Return the tokens that a target has still to read for all routers."""
-        own, others = self._own.get(target), self._others.get(target)
-        tokens = own.unread_tokens if own else 0
-        return tokens + (others.unread_tokens if others else 0)
+        return self._unread.get(target, 0)
 
     def wait_s(self, target: str) -> float:
         """Return how long a target takes to read what it has been sent."""
-        return self.unread_tokens(target) / self.tokens_per_s(target)
+        return self._unread.get(target, 0) / self.tokens_per_s(target)
 
     def tokens_per_s(self, target: str) -> float:
         """Return the learned reading speed of a target."""
-        own = self._own.get(target)
-        return own.tokens_per_s if own and own.tokens_per_s else self.prior_tokens_per_s
+        return self._rates.get(target) or self.prior_tokens_per_s
 
-    def _learn(self, own: _OwnLoad, tokens_per_s: float) -> None:
+    def _learn(self, target: str, tokens_per_s: float) -> None:
         prior = self.prior_tokens_per_s
-        before = own.tokens_per_s or prior
+        before = self.tokens_per_s(target)
         learned = before + _RATE_GAIN * (tokens_per_s - before)
-        own.tokens_per_s = min(prior * _RATE_RANGE, max(prior / _RATE_RANGE, learned))
+        self._rates[target] = min(prior * _RATE_RANGE, max(prior / _RATE_RANGE, learned))
 
     def _count_others(self, router: str, sign: int) -> None:
         """Add a router's report to the sums, or take it out again."""
         _, report_by_target = self._reported.get(router, (0.0, {}))
         for id, report in report_by_target.items():
-            before = self._others.get(id, _NO_LOAD)
-            running = before.running + sign * report.running
-            unread = before.unread_tokens + sign * report.unread_tokens
-            if running or unread:
-                self._others[id] = LoadReport(running, unread)
-            else:
-                self._others.pop(id, None)
+            self._add(id, sign * report.running, sign * report.unread_tokens)
+
+    def _add(self, target: str, running: int, unread_tokens: int) -> None:
+        """Keep the sums over all routers, which each decision asks for."""
+        running += self.running_by_target.get(target, 0)
+        unread_tokens += self._unread.get(target, 0)
+        if running or unread_tokens:
+            self.running_by_target[target] = running
+            self._unread[target] = unread_tokens
+        else:
+            self.running_by_target.pop(target, None)
+            self._unread.pop(target, None)
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -21,7 +21,9 @@
 __all__ = ["AdmissionRules", "Decision", "Placed", "PoolAdmission", "Refused"]
 
 _NOT_IN_TIME = "no target can begin the request in time"
-_MOST_TRIES_PER_POLL = 8
+# Targets that are looked at in one poll, over all requests that are tried for a place.
+_MOST_LOOKS_PER_POLL = 256
+_LEAST_TRIES_PER_POLL = 2
 _SHORTEST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 4.0
 # Reading a shared part again also takes memory from parts that others need.
@@ -99,7 +101,7 @@
 class PoolAdmission:
     """The requests of one pool at one router.
 
-    :ivar is_healthy: whether a target may get a request, by what it did to earlier ones.
+    :ivar spared: returns the targets that get no request now, by what they did to earlier ones.
     """
 
     rules: AdmissionRules
@@ -107,11 +109,13 @@
     usage: UsageLedger
     cache: CacheMap
     lane: LongLane
-    is_healthy: Callable[[str, float], bool] = lambda id, now: True
+    spared: Callable[[float], set[str]] = lambda now: set()
     failure_domain: str = ""
     targets: list[Target] = field(default_factory=list)
     _waiting_by_id: dict[str, WaitingRequest] = field(default_factory=dict)
     _lane_ids: frozenset[str] = frozenset()
+    _ids: list[str] = field(default_factory=list)
+    _lifetimes: list[str] = field(default_factory=list)
 
     @property
     def waiting(self) -> int:
@@ -121,6 +125,8 @@
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Replace the targets that may get requests."""
         self.targets = list(targets)
+        self._ids = [target.id for target in self.targets]
+        self._lifetimes = [target.lifetime for target in self.targets]
 
     def offer(self, request: WaitingRequest, now: float) -> Decision | None:
         """Take a new request; return its decision, or None if it waits."""
@@ -149,9 +155,10 @@
             return []
         decisions: list[Decision] = []
         tries = 0
+        most_tries = max(_LEAST_TRIES_PER_POLL, _MOST_LOOKS_PER_POLL // max(1, len(self.targets)))
         for request in sorted(self._waiting_by_id.values(), key=self._rank):
             decision: Decision | None = None
-            if tries < _MOST_TRIES_PER_POLL:
+            if tries < most_tries:
                 decision = self._decide(request, now)
                 tries += decision is None
             elif now >= request.on_time_until:
@@ -164,8 +171,7 @@
     def sent(self, placed: Placed, now: float) -> None:
         """Count a request that is sent, before anything else is decided."""
         request, target = placed.request, placed.target
-        unread = self._unread(request.work, target)
-        self.loads.sent(target.id, request.id, unread, now)
+        self.loads.sent(target.id, request.id, placed.unread_tokens, now)
         self.cache.sent(target.lifetime, request.work)
         self.usage.got(request.organisation, request.work.cost, now)
 
@@ -183,22 +189,32 @@
     def _decide(self, request: WaitingRequest, now: float) -> Decision | None:
         if now >= request.deadline:
             return self._refuse(request, "the deadline has passed")
-        target = self._choose(request, now)
+        unread_by_id = self._unread_by_id(request.work)
+        target = self._choose(request, unread_by_id, now)
         if target is not None:
-            placed = self._placed(request, target)
+            placed = self._placed(request, target, unread_by_id[target.id])
             self.sent(placed, now)
             return placed
-        if now >= self._give_up_at(request):
+        if now >= self._give_up_at(request, unread_by_id):
             return self._refuse(request, _NOT_IN_TIME)
         return None
 
-    def _give_up_at(self, request: WaitingRequest) -> float:
+    def _unread_by_id(self, work: Work) -> dict[str, int]:
+        """Return the tokens that each target would have to read."""
+        if not work.tokens_in:
+            return dict.fromkeys(self._ids, 0)
+        return dict(zip(self._ids, self.cache.unread_tokens(work, self._lifetimes)))
+
+    def _give_up_at(self, request: WaitingRequest, unread_by_id: dict[str, int]) -> float:
         """Return until when a request may wait for a place.
 
         One that is too long to be on time anywhere waits as long as the others of its route:
         otherwise long prompts would find a place only where a target happens to be idle.
         """
-        read_s = self._least_read_s(request.work)
+        read_s = 0.0
+        if request.work.tokens_in and unread_by_id:
+            id = min(unread_by_id, key=unread_by_id.__getitem__)
+            read_s = unread_by_id[id] / self.loads.tokens_per_s(id)
         if self._is_too_long(request, read_s):
             return request.on_time_until
         return request.on_time_until - read_s
@@ -208,9 +224,8 @@
         aim_s = request.on_time_until - request.arrived_at
         return read_s > self.rules.on_time_part * max(aim_s, 0.0)
 
-    def _placed(self, request: WaitingRequest, target: Target) -> Placed:
-        expected_s = self._wait_s(target) + self._read_s(request.work, target)
-        unread = self._unread(request.work, target)
+    def _placed(self, request: WaitingRequest, target: Target, unread: int) -> Placed:
+        expected_s = self._wait_s(target) + unread / self.loads.tokens_per_s(target.id)
         return Placed(
             request, target, expected_s, unread, self.usage.position(request.organisation)
         )
@@ -218,29 +233,42 @@
     def _refuse(self, request: WaitingRequest, reason: str) -> Refused:
         return Refused(request, reason, self.retry_after_s())
 
-    def _choose(self, request: WaitingRequest, now: float) -> Target | None:
-        left = [target for target in self.targets if target.id not in request.excluded]
-        # Where none is known to work, a request is the only way to find out.
-        usable = [target for target in left if self.is_healthy(target.id, now)] or left
+    def _choose(
+        self, request: WaitingRequest, unread_by_id: dict[str, int], now: float
+    ) -> Target | None:
+        usable = self._usable(request, now)
         part, factor = self._room(request)
-        running = self.loads.running
-        open_targets = [t for t in usable if running(t.id) < max(1.0, part * t.slots)]
+        running = self.loads.running_by_target
+        open_targets = [t for t in usable if running.get(t.id, 0) < max(1.0, part * t.slots)]
         if not open_targets:
             return None
         if not request.work.tokens_in:
             return min(open_targets, key=self._rank_service)
         self._lane_ids = self.lane.targets([target.id for target in usable], now)
-        unread_by_id = {target.id: self._unread(request.work, target) for target in usable}
-        least_unread = min(unread_by_id.values())
+        least_unread = min(unread_by_id[target.id] for target in usable)
         for target in self._by_preference(request.work, open_targets, unread_by_id):
+            unread = unread_by_id[target.id]
             if (
-                self._fits_lane(unread_by_id[target.id], target)
-                and not self._awaits_kept_parts(request, target, least_unread, now)
-                and self._begins_in_time(request, target, factor, now)
+                self._fits_lane(unread, target)
+                and not self._awaits_kept_parts(request, target, unread - least_unread, now)
+                and self._begins_in_time(request, target, unread, factor, now)
             ):
                 return target
         return None
 
+    def _usable(self, request: WaitingRequest, now: float) -> list[Target]:
+        """Return the targets that may get a request; all if none is known to work.
+
+        Where none is known to work, a request is the only way to find out.
+        """
+        left = self.targets
+        if request.excluded:
+            left = [target for target in left if target.id not in request.excluded]
+        spared = self.spared(now)
+        if not spared:
+            return left
+        return [target for target in left if target.id not in spared] or left
+
     def _room(self, request: WaitingRequest) -> tuple[float, float]:
         """Return the part of the slots and of the allowed wait that a request may use.
 
@@ -256,26 +284,30 @@
         return rules.excess_slots_part, rules.excess_factor / excess**2
 
     def _awaits_kept_parts(
-        self, request: WaitingRequest, target: Target, least_unread: int, now: float
+        self, request: WaitingRequest, target: Target, more: int, now: float
     ) -> bool:
-        """Whether the request still waits for a target that has to read less than this one."""
-        more = self._unread(request.work, target) - least_unread
+        """Whether the request still waits for a target that has to read less than this one.
+
+        :param more: tokens that this target has to read, and the other one not.
+        """
         again_s = more / self.loads.tokens_per_s(target.id)
         most_s = _MOST_DELAY_PART * (request.on_time_until - now)
         return now - request.arrived_at < min(_DELAY_PER_SAVED_S * again_s, most_s)
 
     def _begins_in_time(
-        self, request: WaitingRequest, target: Target, factor: float, now: float
+        self, request: WaitingRequest, target: Target, unread: int, factor: float, now: float
     ) -> bool:
         """Whether a target can begin the request soon enough, without delaying others too much."""
         wait_s = self._wait_s(target)
         allowed_s = factor * self.rules.wait_s
-        if wait_s > allowed_s + factor * self._saved_s(request.work, target):
+        rate = self.loads.tokens_per_s(target.id)
+        saved_s = (request.work.tokens_in - unread) / rate
+        if wait_s > allowed_s + factor * saved_s:
             return False
         left_s = request.on_time_until - now
         if left_s <= 0.0:
             return wait_s <= _LATE_WAIT_PART * allowed_s
-        read_s = self._read_s(request.work, target)
+        read_s = unread / rate
         if wait_s + read_s <= self.rules.on_time_part * left_s:
             return True
         if self._is_too_long(request, read_s):
@@ -316,24 +348,6 @@
     def _wait_s(self, target: Target) -> float:
         return self.loads.wait_s(target.id)
 
-    def _read_s(self, work: Work, target: Target) -> float:
-        return self._unread(work, target) / self.loads.tokens_per_s(target.id)
-
-    def _saved_s(self, work: Work, target: Target) -> float:
-        """Return the time that a target saves because it keeps parts of a prompt."""
-        saved = work.tokens_in - self._unread(work, target)
-        return saved / self.loads.tokens_per_s(target.id)
-
-    def _unread(self, work: Work, target: Target) -> int:
-        """Return the tokens that a target would have to read."""
-        return self.cache.of(target.lifetime).uncached_tokens(work)
-
-    def _least_read_s(self, work: Work) -> float:
-        """Return the least time in which any target reads a prompt."""
-        if not work.tokens_in:
-            return 0.0
-        return min((self._read_s(work, target) for target in self.targets), default=0.0)
-
     def _rank(self, request: WaitingRequest) -> tuple[float, bool, float]:
         position = round(self.usage.position(request.organisation), 1)
         is_late = request.on_time_until <= request.arrived_at
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -163,7 +163,7 @@
 )
 def test_unhealthy_targets_are_spared_unless_none_is_healthy(healthy, expected):
     pool = make(targets=2)
-    pool.is_healthy = lambda id, now: id in healthy
+    pool.spared = lambda now: {"t0", "t1"} - healthy
     work = Work()
     assert {offer(pool, id=str(i), work=work).target.id for i in range(4)} == expected
 
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_usage_and_loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_usage_and_loads.py
@@ -113,6 +113,7 @@
 def test_the_lane_grows_with_the_work_of_long_prompts(long, total, count):
     lane = LongLane(long_tokens=10)
     lane.take_report("router", ReadingMix(long, total), 0.0)
+    lane.refresh(0.5)
     assert len(lane.targets([f"t{i}" for i in range(10)], 1.0)) == count
 
 
--- a/packages/parsleyrudder/parsleyrudder/routing/choice.py
+++ b/packages/parsleyrudder/parsleyrudder/routing/choice.py
@@ -98,6 +98,14 @@
             return False
         return not (state.ejections and state.trial)
 
+    def spared(self, now: float) -> set[str]:
+        """Return the servers that failed and get no call now; see :meth:`is_usable`."""
+        return {
+            id
+            for id, state in self._states.items()
+            if now < state.ejected_until or (state.ejections and state.trial)
+        }
+
     def started(self, id: str) -> None:
         """Count a call that is being sent."""
         state = self._states.setdefault(id, _State())
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+import zmq
 from circuits.core import BaseComponent, Event, handler
 from parsleyrudder import (
     Failure,
@@ -54,6 +55,7 @@
 _ACCEPT_AFTER_STOP_S = 2.5
 _STOP_MARGIN_S = 0.5
 _CONNECT_TIMEOUT_S = 0.35
+_ADDRESS_REMEDY = "end the process that listens there, or change the address in the settings"
 _VIEW_RULES = ViewRules(gossip_interval_s=0.5, suspect_after_s=1.0, remove_after_s=3.0)
 
 
@@ -126,7 +128,11 @@
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.answer_s)
         self.peers = PeersTask(self.context, feed, decoder.router_table, rng)
-        self._link = PeerLink(settings.peers, None, self._on_message).register(self)
+        try:
+            self._link = PeerLink(settings.peers, None, self._on_message).register(self)
+        except zmq.ZMQError as error:
+            text = f"can't listen on {settings.peers}: {error}"
+            raise SettingsError(text, _ADDRESS_REMEDY) from error
         self.peers.link = self._link
         self._watch_by_table = {
             decoder.config_table: TableWatch(
@@ -243,12 +249,15 @@
 
     def _listen(self, address: str, handler: object) -> CallerFront:
         host, _, port = address.rpartition(":")
-        front = CallerFront(
-            self.context.timers,
-            (host, int(port)),
-            GuardLimits(),
-            handler,  # type: ignore[arg-type]
-        )
+        try:
+            front = CallerFront(
+                self.context.timers,
+                (host, int(port)),
+                GuardLimits(),
+                handler,  # type: ignore[arg-type]
+            )
+        except OSError as error:
+            raise SettingsError(f"can't listen on {address}: {error}", _ADDRESS_REMEDY) from error
         front.register(self)
         return front
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -194,6 +194,7 @@
         """Sum what was reported; not with each report, as a large fleet sends many."""
         self._context.timers.after(_REFRESH_S, self._refresh)
         self._context.usage.refresh(now())
+        self._context.lane.refresh(now())
 
     def _send_report(self) -> None:
         at = now()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -119,7 +119,7 @@
             context.usage,
             context.cache,
             context.lane,
-            is_healthy=health.is_usable,
+            spared=health.spared,
             failure_domain=domain,
         )
         return Pool(name, admission, health, FleetRetryBudget(rules, now()))
