--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -6,22 +6,19 @@
 
 from .cached_parts import CachedParts, CacheMap
 from .lanes import LongLane, ReadingMix
-from .loads import LoadReport, TargetLoads
+from .loads import TargetLoads
 from .pool_admission import AdmissionRules, Decision, Placed, PoolAdmission, Refused
-from .usage import OrganisationUsage, UsageLedger
-from .work import PromptPart, WaitingRequest, Work
+from .usage import UsageLedger
+from .work import WaitingRequest, Work
 
 __all__ = [
     "AdmissionRules",
     "CacheMap",
     "CachedParts",
     "Decision",
-    "LoadReport",
     "LongLane",
-    "OrganisationUsage",
     "Placed",
     "PoolAdmission",
-    "PromptPart",
     "ReadingMix",
     "Refused",
     "TargetLoads",
--- a/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .work import PromptPart, Work
+from ..messages import PromptPart
+from .work import Work
 
 __all__ = ["CacheMap", "CachedParts"]
 
--- a/packages/parsleyrudder/parsleyrudder/admission/loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/loads.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["LoadReport", "TargetLoads"]
+from ..messages import LoadReport
+
+__all__ = ["TargetLoads"]
 
 # Least time without a report after which a router is taken to send nothing.
 _REPORT_KEPT_S = 1.5
@@ -13,18 +15,6 @@
 _RATE_RANGE = 5.0
 
 
-@dataclass(slots=True, frozen=True)
-class LoadReport:
-    """What one router has at one target.
-
-    :ivar running: requests that were sent and have not ended.
-    :ivar unread_tokens: tokens of their prompts that the target has still to read.
-    """
-
-    running: int
-    unread_tokens: int
-
-
 @dataclass(slots=True)
 class _Sent:
     unread_tokens: int
--- a/packages/parsleyrudder/parsleyrudder/admission/usage.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/usage.py
@@ -3,20 +3,14 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["OrganisationUsage", "UsageLedger"]
+from ..messages import OrganisationUsage
+
+__all__ = ["UsageLedger"]
 
 # Reports of a router that is gone still count what its requests used, until they have decayed.
 _REPORT_KEPT_S = 10.0
 
 
-@dataclass(slots=True, frozen=True)
-class OrganisationUsage:
-    """Cost that one organisation asked for and got at one router, recent cost counting most."""
-
-    asked: float
-    got: float
-
-
 @dataclass(slots=True)
 class _Decaying:
     asked: float = 0.0
@@ -55,7 +49,10 @@
     def own_report(self, now: float) -> dict[str, OrganisationUsage]:
         """Return this router's sums, for the others."""
         self._decay(now)
-        return {name: OrganisationUsage(u.asked, u.got) for name, u in self._own.items()}
+        # Whole numbers take less room in the messages.
+        return {
+            name: OrganisationUsage(round(u.asked), round(u.got)) for name, u in self._own.items()
+        }
 
     def take_report(self, router: str, usage: dict[str, OrganisationUsage], now: float) -> None:
         """Take the newest sums of another router; :meth:`refresh` makes them count."""
@@ -64,7 +61,8 @@
     def refresh(self, now: float) -> None:
         """Sum the reports anew, and work out the level of the max-min share."""
         self._decay(now)
-        others: dict[str, _Decaying] = {}
+        asked_by_name: dict[str, float] = {}
+        got_by_name: dict[str, float] = {}
         for router in list(self._reported):
             at, usage = self._reported[router]
             if now - at > _REPORT_KEPT_S:
@@ -72,9 +70,11 @@
                 continue
             part = math.exp(-(now - at) / self.decay_s)
             for name, reported in usage.items():
-                sums = others.setdefault(name, _Decaying())
-                sums.asked += part * reported.asked
-                sums.got += part * reported.got
+                asked_by_name[name] = asked_by_name.get(name, 0.0) + part * reported.asked
+                got_by_name[name] = got_by_name.get(name, 0.0) + part * reported.got
+        others = {
+            name: _Decaying(asked, got_by_name[name]) for name, asked in asked_by_name.items()
+        }
         self._others = others
         names = self._own.keys() | others.keys()
         asked = [self._sum(name).asked for name in names]
--- a/packages/parsleyrudder/parsleyrudder/admission/work.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/work.py
@@ -2,20 +2,14 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["PromptPart", "WaitingRequest", "Work"]
+from ..messages import PromptPart
+
+__all__ = ["WaitingRequest", "Work"]
 
 # A generated token takes about as much of an engine as two tokens that are read.
 _OUTPUT_WEIGHT = 2.0
 
 
-@dataclass(slots=True, frozen=True)
-class PromptPart:
-    """A part of a prompt; parts with the same id hold the same tokens."""
-
-    id: str
-    tokens: int
-
-
 @dataclass(slots=True, frozen=True)
 class Work:
     """Size of a request; all zero for a request to a plain service.
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -16,17 +16,18 @@
     "Grant",
     "Holding",
     "LoadMessage",
+    "LoadReport",
     "MemberReport",
     "MemberTotal",
     "Message",
     "NewsRow",
+    "OrganisationUsage",
+    "PromptPart",
     "ReadParts",
     "Report",
     "RouterInfo",
     "RouterState",
     "TableNews",
-    "TargetLoadEntry",
-    "UsageEntry",
     "decode_message",
     "encode_message",
 ]
@@ -233,22 +234,31 @@
     diff: Difference
 
 
-class TargetLoadEntry(_Part, frozen=True):
-    """What the sender has at one target; see :class:`LoadReport`."""
+class LoadReport(_Part, frozen=True):
+    """What one router has at one target.
+
+    :ivar running: requests that were sent and have not ended.
+    :ivar unread_tokens: tokens of their prompts that the target has still to read.
+    """
 
-    target: str
     running: int
     unread_tokens: int
 
 
-class UsageEntry(_Part, frozen=True):
-    """Recent cost of one organisation at the sender; see :class:`OrganisationUsage`."""
+class OrganisationUsage(_Part, frozen=True):
+    """Cost that one organisation asked for and got at one router, recent cost counting most."""
 
-    organisation: str
     asked: float
     got: float
 
 
+class PromptPart(_Part, frozen=True):
+    """A part of a prompt; parts with the same id hold the same tokens."""
+
+    id: str
+    tokens: int
+
+
 class ReadParts(_Part, frozen=True):
     """Shared parts of a prompt that the sender has just sent to a target, in order.
 
@@ -256,7 +266,7 @@
     """
 
     lifetime: str
-    parts: tuple[tuple[str, int], ...]
+    parts: tuple[PromptPart, ...]
 
 
 class LoadMessage(_Message, frozen=True):
@@ -273,8 +283,8 @@
     incarnation: int
     sequence: int
     takes_calls: bool
-    targets: tuple[TargetLoadEntry, ...] = ()
-    usage: tuple[UsageEntry, ...] = ()
+    load_by_target: dict[str, LoadReport] = {}
+    usage_by_organisation: dict[str, OrganisationUsage] = {}
     long_tokens: float = 0.0
     all_tokens: float = 0.0
     read_parts: tuple[ReadParts, ...] = ()
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import zmq
@@ -82,10 +82,18 @@
 
         :param address: ``host:port`` of the router's peer socket.
         """
+        self._send(address, encode_message(message))
+
+    def send_all(self, addresses: Iterable[str], message: Message) -> None:
+        """Send a message to several routers; see :meth:`send`."""
+        data = encode_message(message)
+        for address in addresses:
+            self._send(address, data)
+
+    def _send(self, address: str, data: bytes) -> None:
         dealer = self._dealer_by_address.get(address)
         if dealer is None:
             dealer = self._dealer_by_address[address] = self._connect(address)
-        data = encode_message(message)
         try:
             dealer.send(data, zmq.NOBLOCK)
         except zmq.Again:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -10,17 +10,12 @@
     FeedService,
     Gossip,
     LoadMessage,
-    LoadReport,
     Message,
-    OrganisationUsage,
-    PromptPart,
     ReadingMix,
     ReadParts,
     RouterInfo,
     TableError,
     TableNews,
-    TargetLoadEntry,
-    UsageEntry,
     rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
@@ -35,6 +30,8 @@
 _GOSSIP_S = 0.5
 _REPORT_S = 0.1
 _REFRESH_S = 0.15
+# Part of a report interval after which sums are worked out again, if that is longer.
+_REFRESH_PART = 0.5
 # In larger fleets reports are rarer, so that what a router receives stays bounded.
 _ROUTERS_PER_REPORT_INTERVAL = 10
 _ROWS_S = 20.0
@@ -150,15 +147,12 @@
             self._unready_routers.discard(message.sender)
         else:
             self._unready_routers.add(message.sender)
-        loads = {e.target: LoadReport(e.running, e.unread_tokens) for e in message.targets}
-        self._context.loads.take_report(message.sender, loads, at)
+        self._context.loads.take_report(message.sender, message.load_by_target, at)
         mix = ReadingMix(message.long_tokens, message.all_tokens)
         self._context.lane.take_report(message.sender, mix, at)
         for entry in message.read_parts:
-            parts = [PromptPart(id, tokens) for id, tokens in entry.parts]
-            self._context.cache.heard(entry.lifetime, parts)
-        usage = {e.organisation: OrganisationUsage(e.asked, e.got) for e in message.usage}
-        self._context.usage.take_report(message.sender, usage, at)
+            self._context.cache.heard(entry.lifetime, entry.parts)
+        self._context.usage.take_report(message.sender, message.usage_by_organisation, at)
 
     def _gossip(self) -> None:
         self._context.timers.after(_GOSSIP_S, self._gossip)
@@ -192,7 +186,8 @@
 
     def _refresh(self) -> None:
         """Sum what was reported; not with each report, as a large fleet sends many."""
-        self._context.timers.after(_REFRESH_S, self._refresh)
+        interval_s = max(_REFRESH_S, _REFRESH_PART * self._report_interval_s())
+        self._context.timers.after(interval_s, self._refresh)
         self._context.usage.refresh(now())
         self._context.lane.refresh(now())
 
@@ -208,16 +203,11 @@
             incarnation=self._context.view.me.incarnation,
             sequence=self._sequence,
             takes_calls=self.takes_calls,
-            targets=tuple(
-                TargetLoadEntry(id, r.running, r.unread_tokens) for id, r in loads.items()
-            ),
-            usage=tuple(UsageEntry(n, round(u.asked), round(u.got)) for n, u in usage.items()),
+            load_by_target=loads,
+            usage_by_organisation=usage,
             long_tokens=mix.long,
             all_tokens=mix.all,
-            read_parts=tuple(
-                ReadParts(lifetime, tuple((p.id, p.tokens) for p in parts))
-                for lifetime, parts in news
-            ),
+            read_parts=tuple(ReadParts(lifetime, parts) for lifetime, parts in news),
         )
         self._send_to_all(message)
 
@@ -225,10 +215,9 @@
         """Send a message to all other routers that live."""
         if self.link is None:
             return
-        for name in self._context.view.live(now()):
-            info = self._context.view.info(name)
-            if info is not None and name != self._context.view.me.name:
-                self.link.send(info.peer_address, message)
+        view = self._context.view
+        infos = [view.info(name) for name in view.live(now()) if name != view.me.name]
+        self.link.send_all([info.peer_address for info in infos if info is not None], message)
 
     def _register(self) -> None:
         """Write this router's row until that has succeeded."""
