Add parsleyctl explain: the story of one request out of the routers' logs

A denied request left no line of its own; request_denied now names the id, the code, and the version and age of the configuration that decided.

--- a/packages/parsleyctl/parsleyctl/main.py
+++ b/packages/parsleyctl/parsleyctl/main.py
@@ -16,8 +16,12 @@
   undrain ID           take it back
   audit                operators' actions on the fleet
 
+Afterwards, from the routers' logs:
+  explain ID FILE...   the story of one request, and the cause of its end
+
 Exit codes: 0 done, 1 lists refused, 2 wrong command line, 3 conflict with a newer version,
-4 table service or router unavailable, 5 lists differ, 6 version not in force in time.
+4 table service or router unavailable, 5 lists differ, 6 version not in force in time, or the
+logs hold nothing of a request.
 
 Example: change a share and let it be enforced everywhere.
   parsleyctl --table=10.0.0.5:2379 fetch lists
@@ -37,6 +41,7 @@
 
 from . import fleet_commands, list_commands
 from .exits import Exit
+from .explain import explain
 from .output import Output
 
 __all__ = ["run"]
@@ -66,17 +71,23 @@
     output = Output(_JSON.value)
     name, arguments = (argv[1], argv[2:]) if len(argv) > 1 else ("", [])
     command = _COMMANDS.get(name)
-    if command is None or len(arguments) > 1:
+    if command is None or (len(arguments) > 1 and name != "explain"):
         print(__doc__, file=sys.stderr)
         return Exit.USAGE
     if name in ("drain", "undrain") and not arguments:
         output.errors([ValueError(f"{name} needs the id of a server or router")])
         return Exit.USAGE
+    if name == "explain" and len(arguments) < 2:
+        output.errors([ValueError("explain needs the id of a request and the logs to read")])
+        return Exit.USAGE
     try:
         return command(output, arguments)
     except TableError as error:
         output.errors([error])
         return Exit.UNAVAILABLE
+    except OSError as error:
+        output.errors([error])
+        return Exit.UNAVAILABLE
     except RudderError as error:
         output.errors([error])
         return Exit.REFUSED
@@ -138,5 +149,6 @@
     "status": lambda out, args: fleet_commands.status(out, _ROUTERS.value),
     "drain": lambda out, args: fleet_commands.drain(out, _table(), args[0], _author(), False),
     "undrain": lambda out, args: fleet_commands.drain(out, _table(), args[0], _author(), True),
+    "explain": lambda out, args: explain(out, args[0], [Path(name) for name in args[1:]]),
     "audit": lambda out, args: fleet_commands.audit(out, _table(), _LIMIT.value),
 }
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -1,11 +1,13 @@
 """Requests of callers: which route and organisation they belong to, and whether they may go on."""
 
 import itertools
+import logging
 import random
 from collections.abc import Callable
 
 from parsleyrudder import Decision, Failure, Organisation, Route, WaitingRequest, failure
 from parsleyrudder_adapters.front import CallerExchange
+from parsleyrudder_adapters.logs import log_event
 
 from .context import RelayContext, now
 from .dialect import RelayRequest
@@ -14,6 +16,7 @@
 
 __all__ = ["RelayApi"]
 
+_LOGGER = logging.getLogger(__name__)
 _SOON_S = 0.3
 
 
@@ -52,12 +55,12 @@
                 return
             refusal = route
         assert refusal is not None
-        self._refuse(exchange, refusal)
+        self._refuse(exchange, refusal, request)
 
     def _relay(self, exchange: CallerExchange, request: RelayRequest, route: Route) -> None:
         organisation = self._organisation(request, route)
         if isinstance(organisation, Failure):
-            self._refuse(exchange, organisation)
+            self._refuse(exchange, organisation, request)
             return
         at = now()
         allowed_s = route.timeout_s
@@ -110,7 +113,20 @@
             return failure("unauthorized", "the configuration holds no such key")
         return failure("not_ready", "the configuration may be out of date", _SOON_S)
 
-    def _refuse(self, exchange: CallerExchange, refusal: Failure) -> None:
+    def _refuse(
+        self, exchange: CallerExchange, refusal: Failure, request: RelayRequest | Failure
+    ) -> None:
+        """Answer a request that is not relayed at all."""
+        traffic = self._context.traffic
+        log_event(
+            _LOGGER,
+            "request_denied",
+            request=request.id if isinstance(request, RelayRequest) else None,
+            outcome=refusal.kind.code,
+            reason=refusal.message,
+            version=traffic.config.version if traffic.config else None,
+            config_age_s=round(traffic.age_s(now()), 3),
+        )
         self._context.metrics.count("refused", code=refusal.kind.code)
         self._context.dialect.refuse(exchange, refusal)
 
