Keep no place free while no other organisation wants one

Cause: an organisation above its share was held to half of a target's slots even if it was alone, against the promise that no capacity idles while anyone waits. The part now counts only while another organisation has asked for more than it got.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -273,11 +273,14 @@
         """Return the part of the slots and of the allowed wait that a request may use.
 
         What an organisation is owed goes first. What is left goes to those that have got less of
-        it than others, and only places that are free anyway go beyond that.
+        it than others, and only places that are free anyway go beyond that. Where nobody else
+        wants more, no place is kept free.
         """
         rules = self.rules
         if not request.work.tokens_in or self.usage.position(request.organisation) < 1.0:
             return rules.slots_part, 1.0
+        if not self.usage.others_want(request.organisation):
+            return rules.slots_part, 1.0
         excess = self.usage.spare_position(request.organisation)
         if excess < 1.0:
             return rules.spare_slots_part, rules.spare_factor
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -92,6 +92,23 @@
     assert sum(isinstance(d, Placed) for d in decisions) == taken
 
 
+@pytest.mark.parametrize(
+    "others",
+    [
+        pytest.param({}, id="alone"),
+        pytest.param({"other": OrganisationUsage(1e6, 1e6)}, id="others-content"),
+    ],
+)
+def test_no_place_is_kept_free_while_nobody_else_wants_one(others):
+    """Load: one organisation far above its share, and others that got all they asked for."""
+    pool = make(targets=1, slots=10)
+    usage = {"org": OrganisationUsage(2e6, 1e6), **others}
+    pool.usage.take_report("router", usage, 0.0)
+    pool.usage.refresh(0.0)
+    decisions = [offer(pool, id=str(i), work=prompt(10)) for i in range(20)]
+    assert sum(isinstance(d, Placed) for d in decisions) == 9
+
+
 def test_work_that_other_routers_report_counts():
     """Load: another router has filled a target; this one must not fill it again."""
     pool = make(targets=2)
--- a/packages/parsleyrudder/parsleyrudder/admission/usage.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/usage.py
@@ -9,6 +9,8 @@
 
 # Reports of a router that is gone still count what its requests used, until they have decayed.
 _REPORT_KEPT_S = 10.0
+# Part of what an organisation asked for that it has to miss before it counts as waiting for more.
+_UNMET_PART = 0.1
 
 
 @dataclass(slots=True)
@@ -34,6 +36,7 @@
     _level: float = 0.0
     _got_level: float = 0.0
     _others: dict[str, _Decaying] = field(default_factory=dict)
+    _wanting: frozenset[str] = frozenset()
 
     def asked(self, organisation: str, cost: float, now: float) -> None:
         """Count a request that came."""
@@ -76,9 +79,12 @@
             name: _Decaying(asked, got_by_name[name]) for name, asked in asked_by_name.items()
         }
         self._others = others
-        names = self._own.keys() | others.keys()
-        asked = [self._sum(name).asked for name in names]
-        got = sum(self._sum(name).got for name in names)
+        sums = {name: self._sum(name) for name in self._own.keys() | others.keys()}
+        asked = [both.asked for both in sums.values()]
+        got = sum(both.got for both in sums.values())
+        self._wanting = frozenset(
+            name for name, both in sums.items() if both.asked - both.got > _UNMET_PART * both.asked
+        )
         self._level = _max_min_level(asked, self.capacity_per_s * self.decay_s or got)
         self._got_level = _max_min_level(asked, got)
 
@@ -102,6 +108,10 @@
             return 0.0
         return self._sum(organisation).got / self._got_level
 
+    def others_want(self, organisation: str) -> bool:
+        """Whether any other organisation has asked for more than it got."""
+        return len(self._wanting) > (organisation in self._wanting)
+
     def _sum(self, name: str) -> _Decaying:
         own, others = self._own.get(name), self._others.get(name)
         if own is None or others is None:
