Wait longer for a target that keeps the parts of a prompt

Ruled out: evictions that the map does not know.

Delay of 1.5 s per saved second, at most 0.25 of the time left -> 4 s, 0.5.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -34,8 +34,8 @@
 _OTHER_LANE_S = 0.2
 # Seconds that a request waits for a target that keeps its parts, per second of reading saved
 # (delay scheduling: M. Zaharia et al., EuroSys 2010).
-_DELAY_PER_SAVED_S = 1.5
-_MOST_DELAY_PART = 0.25
+_DELAY_PER_SAVED_S = 4.0
+_MOST_DELAY_PART = 0.5
 # A request that can't be on time goes only to a target that has less to read than this part of
 # what it may have.
 _LATE_WAIT_PART = 0.5
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -150,8 +150,8 @@
     work = prompt(200, [("session", 5000)])
     keeper = offer(pool, id="first", work=work).target.id
     assert offer(pool, id="second", work=work, aim_s=0.8) is None
-    assert pool.poll(0.1) == []
-    placed = pool.poll(0.151)
+    assert pool.poll(0.26) == []
+    placed = pool.poll(0.27)
     assert [d.request.id for d in placed] == ["second"]
     assert placed[0].target.id != keeper
 
