Send nothing for a caller that has left, although the loop lags

The socket is now asked just before a request is placed and before it is sent. Ruled out: a loop that spins (its log shows the requests), and the reading of the store (two other routers).

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/front.py
@@ -82,6 +82,20 @@
         self.ended = False
         self.on_gone: Callable[[], None] | None = None
 
+    def has_left(self) -> bool:
+        """Whether the caller has closed the connection, also if the loop has yet to notice it.
+
+        A loop that lags reads a request and only much later that its caller has gone.
+        """
+        if self.ended:
+            return True
+        try:
+            return self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def answer(self, status: int, body: bytes, headers: Iterable[tuple[str, str]] = ()) -> None:
         """Send a whole answer."""
         if self.ended:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -100,7 +100,12 @@
         if decision is None:
             self._pools.watch_waiting()
         elif isinstance(decision, Placed):
-            self._send(decision)
+            if self._exchange.has_left():
+                self.context.loads.ended(decision.target.id, self.id)
+                self.pool.admission.not_run(self.waiting, now())
+                self._finish("caller_left")
+            else:
+                self._send(decision)
         else:
             self._refuse(decision)
 
@@ -147,6 +152,7 @@
             and listed.address == target.address
             and listed.born_ms == target.born_ms
             and now() < self._relay.deadline
+            and not self._exchange.has_left()
         )
 
     def on_attempt_head(self, head: AnswerHead) -> None:
