--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -59,7 +59,7 @@
             wait_s=0.45 * bound_s,
             pause_s=0.1 * bound_s,
             answer_s=0.25 * bound_s,
-            quiet_s=0.6 * bound_s,
+            quiet_s=0.55 * bound_s,
         )
 
     @property
