--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -28,6 +28,8 @@
 _LOGGER = logging.getLogger(__name__)
 _FIRST_RETRY_S = 0.1
 _LONGEST_RETRY_S = 0.5
+# A timer may fire a moment too early for what it was set for.
+_SHORTEST_PAUSE_S = 0.01
 # A router that hears of the store from others need not ask a lost store as often as they do.
 _LONGEST_FOLLOWER_RETRY_S = 2.0
 # Larger changes are not passed on: each router reads them itself, so that links stay free.
@@ -201,7 +203,7 @@
         """Plan the next call: soon as a reader, else when what is known has become too old."""
         if not self._peers.is_reader():
             age_s = now() - self._copy.confirmed_at
-            pause_s = max(pause_s, self._rules.quiet_s - age_s)
+            pause_s = max(pause_s, self._rules.quiet_s - age_s, _SHORTEST_PAUSE_S)
         self._next = self._timers.after(pause_s, self._check)
 
     def _check(self) -> None:
