--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -0,0 +1,43 @@
+"""Links between routers: those to replaced routers must not stay open for ever."""
+
+import contextlib
+import socket
+
+import pytest
+from parsleyrudder import ConfigRequest
+from parsleyrudder_adapters.peers import PeerLink
+
+LIMIT_S = 10.0
+
+
+@pytest.fixture
+def servers():
+    with contextlib.ExitStack() as stack:
+        listeners = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(2)]
+        for listener in listeners:
+            listener.settimeout(LIMIT_S)
+        yield listeners
+
+
+def drain(connection):
+    """Read until the peer closes."""
+    while connection.recv(4096):
+        pass
+
+
+def test_links_to_other_addresses_are_closed(servers):
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        own = f"127.0.0.1:{sock.getsockname()[1]}"
+    link = PeerLink(own, None, lambda message: None)
+    addresses = [f"127.0.0.1:{server.getsockname()[1]}" for server in servers]
+    link.send_all(addresses, ConfigRequest("r", 1))
+    kept, replaced = [server.accept()[0] for server in servers]
+    with kept, replaced:
+        link.keep({addresses[0]})
+        replaced.settimeout(LIMIT_S)
+        with contextlib.suppress(ConnectionError):
+            drain(replaced)
+        kept.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            drain(kept)
+        link.close()
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -0,0 +1,63 @@
+"""Address answers of large fleets, whose routers report more rarely, and chains of row reads."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from parsleyrudder import FleetView, Gossip, RouterInfo, RouterState, TargetLoads, UsageLedger
+from parsleyrudder_daemon.relay import peers_task
+from parsleyrudder_daemon.relay.peers_task import PeersTask
+
+
+class Timers:
+    def __init__(self):
+        self.pending = []
+
+    def after(self, delay_s, callback):
+        timer = SimpleNamespace(callback=callback)
+        timer.cancel = lambda: self.pending.remove(timer)
+        self.pending.append(timer)
+        return timer
+
+
+class Store:
+    def __init__(self):
+        self.puts = 0
+
+    def put(self, table, key, value, done):
+        self.puts += 1
+        done(True)
+
+
+def make(monkeypatch, routers, now=100.0):
+    monkeypatch.setattr(peers_task, "now", lambda: now)
+    view = FleetView(RouterInfo("me", 1, "a", "h:1", "h:2"))
+    for number in range(routers - 1):
+        view.learn(RouterInfo(f"r{number}", 1, "a", f"h{number}:1", ""), 1, False, 98.0)
+    context: Any = SimpleNamespace(
+        view=view,
+        timers=Timers(),
+        stopping=False,
+        settings=SimpleNamespace(name="me"),
+        loads=TargetLoads(),
+        usage=UsageLedger(),
+    )
+    return PeersTask(context, Store(), "routers", random.Random(1)), context
+
+
+@pytest.mark.parametrize(("routers", "named"), [(7, 1), (200, 200)])
+def test_silence_is_measured_by_the_interval_of_reports(monkeypatch, routers, named):
+    """All were heard 2 s ago: long for a fleet that reports every 0.1 s, not for every 2 s."""
+    task, _ = make(monkeypatch, routers)
+    task.takes_calls = True
+    assert len(task.addresses()) == named
+
+
+def test_a_raised_incarnation_leaves_one_chain_of_row_reads(monkeypatch):
+    task, context = make(monkeypatch, routers=1)
+    for incarnation in (5, 9):
+        state = RouterState("me", incarnation, 1, False)
+        task._outbid(Gossip("r", 1, True, False, (state,)))
+    assert context.view.me.incarnation == 10
+    assert len(context.timers.pending) == 1
