Keep one copy of small decisions, and no state that can be derived

Duties by rendezvous (readers of lists and of tables), servers spared for their failures, shared parts of a prompt; the lane's targets are passed on instead of kept between calls. Unused: the sender of table news, a wrapper of one call, a callback with one user.

--- a/packages/parsleyctl/parsleyctl/explain.py
+++ b/packages/parsleyctl/parsleyctl/explain.py
@@ -112,19 +112,13 @@
         "missing": story.missing,
     }
     shown = sorted([*story.lines, *story.beliefs], key=lambda line: line.at)
-    own = set(map(_key_of, story.lines))
-    told = [("* " if _key_of(line) in own else "  ") + line.text() for line in shown]
+    told = [("* " if line.fields.get("request") == id else "  ") + line.text() for line in shown]
     output.result(
         document, [*told, f"cause: {story.cause}", *(f"missing: {m}" for m in story.missing)]
     )
     return Exit.OK if story.lines else Exit.INCOMPLETE
 
 
-def _key_of(line: LogLine) -> tuple[float, str, str, str]:
-    """Return what tells a line from others."""
-    return line.at, line.router, line.event, line.fields.get("request", "")
-
-
 def parse_line(text: str) -> LogLine | None:
     """Return the event of a line; None if it is cut off or no event.
 
--- a/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/cached_parts.py
@@ -24,13 +24,11 @@
     _tokens_by_part: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _tokens: int = 0
 
-    def uncached_tokens(self, work: Work, parts: tuple[PromptPart, ...] | None = None) -> int:
+    def uncached_tokens(self, work: Work) -> int:
         """Return the tokens of a prompt that have to be read.
 
         A part is of use only if all parts before it are kept too.
 
-        :param parts: the prompt's shared parts, if the caller has them already.
-
         >>> from parsleyrudder import PromptPart
         >>> cached = CachedParts(1000)
         >>> work = Work((PromptPart("a", 300), PromptPart("b", 50)), 350, 10)
@@ -41,9 +39,8 @@
         20
         """
         tokens = work.tokens_in
-        kept = self._tokens_by_part
-        for part in work.shared_parts if parts is None else parts:
-            if part.id not in kept:
+        for part in work.shared_parts:
+            if part.id not in self._tokens_by_part:
                 break
             tokens -= part.tokens
         return tokens if tokens > 0 else 0
@@ -83,13 +80,10 @@
 
         Asked for each decision and all targets, so it does not ask them one by one.
         """
-        parts = work.shared_parts
-        if not parts:
-            return [work.tokens_in for _ in lifetimes]
         unread = []
         for lifetime in lifetimes:
             cached = self._by_lifetime.get(lifetime)
-            unread.append(work.tokens_in if cached is None else cached.uncached_tokens(work, parts))
+            unread.append(work.tokens_in if cached is None else cached.uncached_tokens(work))
         return unread
 
     def sent(self, lifetime: str, work: Work) -> None:
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -113,7 +113,6 @@
     failure_domain: str = ""
     targets: list[Target] = field(default_factory=list)
     _waiting_by_id: dict[str, WaitingRequest] = field(default_factory=dict)
-    _lane_ids: frozenset[str] = frozenset()
     _ids: list[str] = field(default_factory=list)
     _lifetimes: list[str] = field(default_factory=list)
 
@@ -183,7 +182,7 @@
         """Return a time after which a new request can expect a place."""
         if not self.targets:
             return 1.0
-        wait_s = min(self._wait_s(target) for target in self.targets)
+        wait_s = min(self.loads.wait_s(target.id) for target in self.targets)
         return min(_LONGEST_RETRY_S, max(_SHORTEST_RETRY_S, 2 * wait_s))
 
     def _decide(self, request: WaitingRequest, now: float) -> Decision | None:
@@ -225,7 +224,7 @@
         return read_s > self.rules.on_time_part * max(aim_s, 0.0)
 
     def _placed(self, request: WaitingRequest, target: Target, unread: int) -> Placed:
-        expected_s = self._wait_s(target) + unread / self.loads.tokens_per_s(target.id)
+        expected_s = self.loads.wait_s(target.id) + unread / self.loads.tokens_per_s(target.id)
         return Placed(
             request, target, expected_s, unread, self.usage.position(request.organisation)
         )
@@ -244,12 +243,12 @@
             return None
         if not request.work.tokens_in:
             return min(open_targets, key=self._rank_service)
-        self._lane_ids = self.lane.targets([target.id for target in usable], now)
+        lane_ids = self.lane.targets([target.id for target in usable], now)
         least_unread = min(unread_by_id[target.id] for target in usable)
-        for target in self._by_preference(request.work, open_targets, unread_by_id):
+        for target in self._by_preference(request.work, open_targets, unread_by_id, lane_ids):
             unread = unread_by_id[target.id]
             if (
-                self._fits_lane(unread, target)
+                self._fits_lane(unread, target, lane_ids)
                 and not self._awaits_kept_parts(request, target, unread - least_unread, now)
                 and self._begins_in_time(request, target, unread, factor, now)
             ):
@@ -301,7 +300,7 @@
         self, request: WaitingRequest, target: Target, unread: int, factor: float, now: float
     ) -> bool:
         """Whether a target can begin the request soon enough, without delaying others too much."""
-        wait_s = self._wait_s(target)
+        wait_s = self.loads.wait_s(target.id)
         allowed_s = factor * self.rules.wait_s
         rate = self.loads.tokens_per_s(target.id)
         saved_s = (request.work.tokens_in - unread) / rate
@@ -318,7 +317,11 @@
         return wait_s <= _IDLE_WAIT_PART * allowed_s
 
     def _by_preference(
-        self, work: Work, targets: list[Target], unread_by_id: dict[str, int]
+        self,
+        work: Work,
+        targets: list[Target],
+        unread_by_id: dict[str, int],
+        lane_ids: frozenset[str],
     ) -> list[Target]:
         """Return the few targets that can begin soonest and read least again, the best first.
 
@@ -330,7 +333,7 @@
         for target in targets:
             rate = self.loads.tokens_per_s(target.id)
             cost_s = self.loads.wait_s(target.id) + _UNREAD_WEIGHT * unread_by_id[target.id] / rate
-            if (target.id in self._lane_ids) != is_long:
+            if (target.id in lane_ids) != is_long:
                 cost_s += _OTHER_LANE_S
             cost_by_id[target.id] = round(cost_s, 2)
         best = heapq.nsmallest(_TARGETS_TRIED, targets, key=lambda t: cost_by_id[t.id])
@@ -342,15 +345,12 @@
             best = [first, *(target for target in best if target is not first)]
         return best
 
-    def _fits_lane(self, unread_tokens: int, target: Target) -> bool:
+    def _fits_lane(self, unread_tokens: int, target: Target, lane_ids: frozenset[str]) -> bool:
         """Whether a prompt would not slow the streams at a target more than they can bear."""
-        if target.id in self._lane_ids or not self.lane.is_long(unread_tokens):
+        if target.id in lane_ids or not self.lane.is_long(unread_tokens):
             return True
         return self.loads.running(target.id) <= _FEW_STREAMS_PART * target.slots
 
-    def _wait_s(self, target: Target) -> float:
-        return self.loads.wait_s(target.id)
-
     def _rank(self, request: WaitingRequest) -> tuple[float, bool, float]:
         position = round(self.usage.position(request.organisation), 1)
         is_late = request.on_time_until <= request.arrived_at
--- a/packages/parsleyrudder/parsleyrudder/admission/work.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/work.py
@@ -17,22 +17,22 @@
     :ivar parts: parts of the prompt in order; the last one is the request's own.
     :ivar tokens_in: tokens of the prompt.
     :ivar tokens_out: tokens that will be generated, as far as the caller knows.
+    :ivar shared_parts: parts that other requests may share.
     """
 
     parts: tuple[PromptPart, ...] = ()
     tokens_in: int = 0
     tokens_out: int = 0
+    shared_parts: tuple[PromptPart, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "shared_parts", self.parts[:-1])
 
     @property
     def cost(self) -> float:
         """Cost in tokens, of which a generated one counts more than one that is read."""
         return self.tokens_in + _OUTPUT_WEIGHT * self.tokens_out
 
-    @property
-    def shared_parts(self) -> tuple[PromptPart, ...]:
-        """Parts that other requests may share."""
-        return self.parts[:-1]
-
 
 @dataclass(slots=True)
 class WaitingRequest:
--- a/packages/parsleyrudder/parsleyrudder/membership/view.py
+++ b/packages/parsleyrudder/parsleyrudder/membership/view.py
@@ -142,6 +142,16 @@
             gone.add(self.me.name)
         return [name for name in self.live(now) if name not in gone]
 
+    def has_duty(self, duty: str, holders: int, now: float) -> bool:
+        """Whether this router is one of the few that do something for all of the fleet.
+
+        The holders are the first staying routers by rendezvous; views that differ for a while make
+        more or fewer of them.
+
+        :param holders: number of routers that have the duty.
+        """
+        return self.me.name in rendezvous(duty, self.staying(now))[:holders]
+
     def silence_s(self, name: str, now: float) -> float:
         """Return the seconds since the last sign of life of a router; infinite if unknown."""
         if name == self.me.name:
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -308,7 +308,6 @@
     :ivar removed: revisions of the removals, by the key of the removed row.
     """
 
-    sender: str
     table: str
     after: int
     revision: int
--- a/packages/parsleyrudder/parsleyrudder/routing/choice.py
+++ b/packages/parsleyrudder/parsleyrudder/routing/choice.py
@@ -51,6 +51,10 @@
     ejected_until: float = 0.0
     trial: bool = False
 
+    def is_spared(self, now: float) -> bool:
+        """Whether the server gets no call because of its failures."""
+        return now < self.ejected_until or (self.ejections > 0 and self.trial)
+
 
 @dataclass(slots=True)
 class ServerTable:
@@ -94,17 +98,11 @@
     def is_usable(self, id: str, now: float) -> bool:
         """Whether a server may get a call now."""
         state = self._states.get(id)
-        if state is None or id in self.leaving or now < state.ejected_until:
-            return False
-        return not (state.ejections and state.trial)
+        return state is not None and id not in self.leaving and not state.is_spared(now)
 
     def spared(self, now: float) -> set[str]:
         """Return the servers that failed and get no call now; see :meth:`is_usable`."""
-        return {
-            id
-            for id, state in self._states.items()
-            if now < state.ejected_until or (state.ejections and state.trial)
-        }
+        return {id for id, state in self._states.items() if state.is_spared(now)}
 
     def started(self, id: str) -> None:
         """Count a call that is being sent."""
--- a/packages/parsleyrudder/parsleyrudder/tests/test_feeds.py
+++ b/packages/parsleyrudder/parsleyrudder/tests/test_feeds.py
@@ -27,7 +27,7 @@
 
 def news(after, revision, *rows, removed=(), at=7.0, is_whole=True):
     kept = tuple(NewsRow(key, b"", number) for key, number in rows)
-    return TableNews("r1", "t", after, revision, at, is_whole, kept, dict(removed))
+    return TableNews("t", after, revision, at, is_whole, kept, dict(removed))
 
 
 def copy_at(revision):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/fleet_task.py
@@ -19,7 +19,6 @@
     Txn,
     TxnResult,
     next_incarnation,
-    rendezvous,
 )
 from parsleyrudder_adapters.etcd import BlockingEtcdTable
 from parsleyrudder_adapters.logs import log_event
@@ -190,9 +189,7 @@
         self._announce()
 
     def _is_reader(self) -> bool:
-        view = self._context.view
-        readers = rendezvous("list-readers", view.staying(self._context.now()))[:_READERS]
-        return self._context.name in readers
+        return self._context.view.has_duty("list-readers", _READERS, self._context.now())
 
     def _remove_stale_rows(self) -> None:
         """Remove rows of dead routers, if this router is a list reader."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-from collections.abc import Callable
 
 import msgspec
 from parsleyrudder import (
@@ -16,7 +15,6 @@
     RouterInfo,
     TableError,
     TableNews,
-    rendezvous,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerLink
@@ -89,7 +87,16 @@
     def unregister(self) -> None:
         """Remove this router's row."""
         name = self._context.settings.name
-        self._read_own_row(lambda revision: self._feed.remove(self._table, name, revision, _ignore))
+
+        def done(page: FeedPage | TableError) -> None:
+            if isinstance(page, TableError):
+                _ignore(page)
+                return
+            for row in page.rows:
+                if row.key == name:
+                    self._feed.remove(self._table, name, row.revision, _ignore)
+
+        self._feed.read(self._table, done)
 
     def addresses(self) -> list[RouterInfo]:
         """Return the routers that callers should use; never none."""
@@ -105,8 +112,7 @@
 
     def is_reader(self) -> bool:
         """See :class:`WatchPeers`."""
-        view = self._context.view
-        return view.me.name in rendezvous("table readers", view.staying(now()))[:_READERS]
+        return self._context.view.has_duty("table readers", _READERS, now())
 
     def publish(self, news: TableNews) -> None:
         """See :class:`WatchPeers`."""
@@ -268,16 +274,6 @@
         if silence_s > _FORGET_ROW_S and at - first_seen > _FORGET_ROW_S:
             self._feed.remove(self._table, info.name, revision, _ignore)
 
-    def _read_own_row(self, found: Callable[[int], object]) -> None:
-        def done(page: FeedPage | TableError) -> None:
-            if isinstance(page, TableError):
-                return
-            for row in page.rows:
-                if row.key == self._context.settings.name:
-                    found(row.revision)
-
-        self._feed.read(self._table, done)
-
 
 def _ignore(result: bool | TableError) -> None:
     """Leave a removal that failed to the next one: rows of dead routers do no harm."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -28,7 +28,7 @@
 _EJECT_MOST_S = 4.0
 _EJECT_AFTER = 2
 # A generated token counts twice in the declared speed, and reading goes on beside generating.
-_READING_PART = 2.0
+_READING_FACTOR = 2.0
 # A prompt that takes longer to read is long.
 _LONG_READ_S = 0.3
 
@@ -140,7 +140,7 @@
             for target in self._context.targets.in_pool(name)
         ]
         if engines and config.tokens_per_s:
-            tokens_per_s = _READING_PART * config.tokens_per_s / len(engines)
+            tokens_per_s = _READING_FACTOR * config.tokens_per_s / len(engines)
             self._context.loads.prior_tokens_per_s = tokens_per_s
             self._context.usage.capacity_per_s = config.tokens_per_s
             self._context.lane.long_tokens = _LONG_READ_S * tokens_per_s
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -86,7 +86,6 @@
 class TableWatch:
     """Task that follows one table.
 
-    :param name: name of this router.
     :param on_read: called with each whole read, and whether the store was away before it.
     :param on_change: called with each page of changes.
     :param on_confirmed: called with a time at which nothing newer existed.
@@ -98,7 +97,6 @@
         timers: Timers,
         rules: WatchRules,
         peers: WatchPeers,
-        name: str,
         table: str,
         on_read: Callable[[FeedPage, bool], None],
         on_change: Callable[[FeedPage], None],
@@ -108,7 +106,6 @@
         self._timers = timers
         self._rules = rules
         self._peers = peers
-        self._name = name
         self._table = table
         self._on_read = on_read
         self._on_change = on_change
@@ -182,7 +179,6 @@
         is_whole = sum(len(row.value) for row in rows) <= _MOST_NEWS_BYTES
         self._peers.publish(
             TableNews(
-                self._name,
                 self._table,
                 after,
                 page.revision,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -116,7 +116,6 @@
             self.clock,
             RULES,
             Peers(self, name),
-            name,
             "t",
             on_page,
             on_page,
