--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/settings.py
@@ -9,6 +9,7 @@
 from msgspec import Meta
 from parsleyrudder import OrderRules, RowFault, SettingsError, convert_row
 
+from .field_types import HOST_PATTERN, PORT_PATTERN, Address
 from .guard import GuardLimits
 
 __all__ = [
@@ -27,23 +28,13 @@
     "parse_settings",
 ]
 
-_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
-_HOST = rf"{_OCTET}(\.{_OCTET}){{3}}"
-_PORT = r"([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 _Z85 = r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]"
 # Bound of times: a longer one is a mistake of unit.
 _DAY_S = 86400
-_Address = Annotated[
-    str,
-    Meta(
-        pattern=rf"^{_HOST}:{_PORT}\Z",
-        description="write an IPv4 number and a port from 1 to 65535, such as 127.0.0.1:8100",
-    ),
-]
 _Url = Annotated[
     str,
     Meta(
-        pattern=rf"^https?://{_HOST}(:{_PORT})?\Z",
+        pattern=rf"^https?://{HOST_PATTERN}(:{PORT_PATTERN})?\Z",
         description="write a URL with an IPv4 number, such as http://127.0.0.1:8100",
     ),
 ]
@@ -101,9 +92,9 @@
 
     name: _Name
     failure_domain: _Name
-    caller_bind: _Address
+    caller_bind: Address
     caller_url: _Url
-    peer_bind: _Address
+    peer_bind: Address
     address_ttl_s: _Seconds = 5.0
     stop_timeout_s: _Seconds = 120.0
     config_max_age_s: _Seconds = 600.0
@@ -117,14 +108,14 @@
 class TableSettings(_Section, frozen=True):
     """The platform's table service."""
 
-    address: _Address
+    address: Address
     timeout_s: _Seconds = 2.0
 
 
 class InstanceListSettings(_Section, frozen=True):
     """The platform's instance list."""
 
-    address: _Address
+    address: Address
     interval_s: _Seconds = 1.0
 
 
@@ -132,7 +123,7 @@
     """A router to ask first."""
 
     name: _Name
-    address: _Address
+    address: Address
     caller_url: _Url
 
 
@@ -162,7 +153,7 @@
     """A server of a pool."""
 
     id: _Name
-    address: _Address
+    address: Address
     failure_domain: _Name
     window: _Count
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -36,6 +36,7 @@
 from .config_task import ConfigTask
 from .context import Context
 from .fleet_task import FleetTask, first_incarnation
+from .handler_errors import HandlerErrors
 from .key_task import KeyTask
 from .load_task import LoadTask
 from .orders_task import OrdersTask
@@ -73,6 +74,7 @@
         self._incarnation = first_incarnation(settings)
         self._stopping_at: float | None = None
         self._refusing = False
+        HandlerErrors().register(self)
         timers = Timers().register(self)
         client = HttpClient(timers).register(self)
         keys = PeerKeys(settings.peers.public_key, settings.peers.secret_key)
@@ -144,13 +146,6 @@
         self.fleet_task.say_goodbye()
         self.context.timers.after(self.settings.router.address_ttl_s, self._refuse_new_calls)
 
-    @handler("exception", channel="*")
-    def _on_exception(self, *args: object, **kwargs: object) -> None:
-        """Log an error in a handler; circuits would only print it."""
-        error = args[1]
-        info = (type(error), error, getattr(error, "__traceback__", None))
-        _LOGGER.error("event=handler_failed handler=%s", kwargs.get("handler"), exc_info=info)  # type: ignore[arg-type]
-
     def _on_signal(self, number: int, frame: object) -> None:
         self.fire(_StopRequested(), "app")
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -33,6 +33,7 @@
 from parsleyrudder_adapters.poller import LoopPoller
 from parsleyrudder_adapters.timers import Timers
 
+from ..handler_errors import HandlerErrors
 from .api import RelayApi
 from .context import RelayContext, now
 from .dialect import Dialect, StoreDecoder
@@ -106,6 +107,7 @@
         self._was_ready = False
         # A name that starts again must have a higher incarnation than before.
         incarnation = int(time.time() * 1000)
+        HandlerErrors().register(self)
         timers = Timers().register(self)
         client = HttpClient(timers, _CONNECT_TIMEOUT_S).register(self)
         rng = random.Random(f"{settings.name}:{incarnation}")
@@ -221,13 +223,6 @@
         self.peers.unregister()
         self.context.timers.after(_ACCEPT_AFTER_STOP_S, self._stop_accepting)
 
-    @handler("exception", channel="*")
-    def _on_exception(self, *args: object, **kwargs: object) -> None:
-        """Log an error in a handler; circuits would only print it."""
-        error = args[1]
-        info = (type(error), error, getattr(error, "__traceback__", None))
-        _LOGGER.error("event=handler_failed handler=%s", kwargs.get("handler"), exc_info=info)  # type: ignore[arg-type]
-
     def _stop_accepting(self) -> None:
         self._refusing = True
         self._front.stop_listening()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
@@ -6,11 +6,11 @@
 import msgspec
 from msgspec import Meta
 from parsleyrudder import SettingsError
+from parsleyrudder_adapters.field_types import Address
 
 __all__ = ["RelayBounds", "RelaySettings", "load_relay_settings"]
 
 _REMEDY = "correct the settings file and start again"
-_Address = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z")]
 _Seconds = Annotated[float, Meta(ge=0, le=86400)]
 
 
@@ -55,13 +55,13 @@
 
     name: str
     failure_domain: str
-    callers: _Address
-    ready: _Address
-    addresses: _Address
-    peers: _Address
-    store: _Address
-    metrics: _Address
-    seeds: list[_Address] = []
+    callers: Address
+    ready: Address
+    addresses: Address
+    peers: Address
+    store: Address
+    metrics: Address
+    seeds: list[Address] = []
     log_level: str = "INFO"
     bounds: RelayBounds = msgspec.field(default_factory=RelayBounds)
 
