Blame no target for a send that the router itself withheld

Cause: a send that was not made because its caller had left, or its time was over, counted as a failure of the target, and two of them eject it; a lagging router whose callers leave in numbers would spare sound targets. Such an end now says nothing about the target, and a request whose caller has left ends there.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -210,8 +210,9 @@
         assert attempt is not None
         if end is not SendEnd.NOT_SENT:
             self._relay.on_sent()
-        blame = None if end is SendEnd.REFUSED else True
-        self._end_attempt(blame)
+        # Withheld sends, as for a caller that has left, say nothing about the target.
+        is_withheld = end is SendEnd.NOT_SENT and not self._may_send(attempt.target)
+        self._end_attempt(None if is_withheld or end is SendEnd.REFUSED else True)
         log_event(
             _LOGGER,
             "send_failed",
@@ -223,6 +224,9 @@
         self.context.metrics.count("sends_failed", end=end, pool=self.pool.name)
         if end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
             self.pool.admission.not_run(self.waiting, now())
+        if is_withheld and self._exchange.has_left():
+            self._finish("caller_left")
+            return
         self.waiting.excluded.add(attempt.target.id)
         if self._relay.may_send_again(end, now()) and self._has_budget():
             self._take(self.pool.admission.offer_again(self.waiting, now()))
