--- a/packages/parsleyrudder/parsleyrudder/delivery/event_frames.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/event_frames.py
@@ -4,11 +4,11 @@
 joined with the first event of the target that resumes the stream.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-__all__ = ["EventFrames"]
+from .event_buffer import EventBuffer
 
-_MOST_EVENT_BYTES = 1 << 20
+__all__ = ["EventFrames"]
 
 
 @dataclass(slots=True)
@@ -21,11 +21,11 @@
 
     last_id: int | None = None
     fault: str = ""
-    _buffer: bytes = b""
+    _buffer: EventBuffer = field(default_factory=EventBuffer)
 
     def begin_attempt(self) -> None:
         """Drop the unfinished event of the attempt before."""
-        self._buffer = b""
+        self._buffer = EventBuffer()
         self.fault = ""
 
     def feed(self, data: bytes) -> bytes:
@@ -37,20 +37,15 @@
         """
         if self.fault:
             return b""
-        data = self._buffer + data
-        end = data.rfind(b"\n\n") + 2
-        if end < 2:
-            self._buffer = data
-            if len(data) > _MOST_EVENT_BYTES:
-                self.fault = "an event is too large"
-            return b""
-        self._buffer = data[end:]
-        return b"".join(event for event in _events(data[:end]) if self._passes(event))
+        passed = [event + b"\n\n" for event in self._buffer.feed(data) if self._passes(event)]
+        if self._buffer.is_too_long:
+            self.fault = "an event is too large"
+        return b"".join(passed)
 
     @property
     def is_between_events(self) -> bool:
         """Whether no part of an unfinished event is buffered."""
-        return not self._buffer
+        return self._buffer.is_empty
 
     def _passes(self, event: bytes) -> bool:
         if self.fault:
@@ -68,11 +63,6 @@
         return True
 
 
-def _events(data: bytes) -> list[bytes]:
-    """Return the events of a text that ends with an event's end."""
-    return [event + b"\n\n" for event in data[:-2].split(b"\n\n")]
-
-
 def _event_id(event: bytes) -> int | None:
     """Return the id of an event, or None if it has none that is a number."""
     for line in event.split(b"\n"):
--- a/packages/parsleyrudder/parsleyrudder/delivery/streams.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/streams.py
@@ -9,10 +9,11 @@
 
 import msgspec
 
+from .event_buffer import EventBuffer
+
 __all__ = ["EventStream", "StreamPart"]
 
 _DONE = b"data: [DONE]"
-_MOST_EVENT_BYTES = 1 << 20
 
 
 class _Delta(msgspec.Struct):
@@ -58,7 +59,7 @@
     done: bool = False
     fault: str = ""
     _skip: int = 0
-    _buffer: bytes = b""
+    _buffer: EventBuffer = field(default_factory=EventBuffer)
 
     def begin(self, resumed_from: str | None) -> None:
         """Take the head of the answer.
@@ -80,22 +81,16 @@
         ['b']
         """
         part = StreamPart()
-        data = self._buffer + data
-        end = data.rfind(b"\n\n") + 2
-        if end < 2:
-            self._buffer = data
-            if len(data) > _MOST_EVENT_BYTES:
-                self.fault = "an event is too large"
-            return part
-        self._buffer = data[end:]
         kept = []
-        for event in data[: end - 2].split(b"\n\n"):
+        for event in self._buffer.feed(data):
             if self.done or self.fault:
                 break
             if event == _DONE:
                 self.done = True
             elif self._keeps(event, part):
                 kept.append(event)
+        if self._buffer.is_too_long:
+            self.fault = "an event is too large"
         if kept:
             part.events = b"\n\n".join(kept) + b"\n\n"
         return part
