Export connections, accepted connections and loop turns of a relay

The state line and the metrics now have connections, accepted, target connections and the longest recent turn; requests are counted by outcome. State line and metrics move from app into state_report.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -100,6 +100,11 @@
         self._idle_by_address: dict[str, list[_Connection]] = {}
         self._cached_poller: BasePoller | None = None
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections, idle ones included."""
+        return len(self._connection_by_sock)
+
     @property
     def _poller(self) -> BasePoller:
         # Cached, since the lookup searches the whole tree of components.
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
@@ -249,6 +249,7 @@
     """Listens for callers and hands their requests to a handler.
 
     :param bind: host and port; port 0 selects a free port.
+    :ivar accepted_count: number of connections accepted so far.
     """
 
     channel = "web"
@@ -262,6 +263,7 @@
         self._listener = _Listener(bind, display_banner=False).register(self)
         self._handler = handler
         self._exchange_by_sock: dict[socket.socket, CallerExchange] = {}
+        self.accepted_count = 0
 
     @property
     def port(self) -> int:
@@ -273,6 +275,11 @@
         """Number of requests whose responses are not complete."""
         return len(self._exchange_by_sock)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections, idle ones included."""
+        return self.request_reader.connection_count
+
     def stop_listening(self) -> None:
         """Accept the pending connections, then close the listening socket."""
         server = self._listener.server
@@ -308,6 +315,7 @@
     @handler("connect")
     def _on_connect(self, sock: socket.socket, *address: object) -> None:
         if self._listener.release(sock):
+            self.accepted_count += 1
             self.request_reader.add_connection(sock)
 
     @handler("answer_ended")
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/logs.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/logs.py
@@ -3,10 +3,11 @@
 import logging
 import os
 import time
+from collections import Counter
 
 __all__ = ["BoundedLogHandler", "log_event", "set_up_logging"]
 
-_MAX_LINES_PER_S = 200
+_MAX_LINES_PER_S_AND_LOGGER = 200
 _MAX_LINE_CHARS = 4000
 _CHARS_TO_QUOTE = frozenset(' "=\\\n\r\t')
 
@@ -29,8 +30,9 @@
 class BoundedLogHandler(logging.Handler):
     """Writes lines to a file descriptor without blocking, and drops those that can't be written.
 
-    Lines below the level WARNING are also limited in number per second. The number of dropped lines
-    is logged in the next second in which a record arrives.
+    Lines below the level WARNING are also limited in number per second and logger, so that lines on
+    single requests do not displace those on the state of the router. The number of dropped lines is
+    logged in the next second in which a record arrives.
 
     :param fd: file descriptor; it is set to non-blocking mode.
     :ivar dropped: number of lines dropped so far.
@@ -40,7 +42,7 @@
         super().__init__()
         self._fd = fd
         self._second = 0
-        self._lines_this_second = 0
+        self._lines_this_second_by_logger: Counter[str] = Counter()
         self._unreported = 0
         self.dropped = 0
         os.set_blocking(fd, False)
@@ -49,10 +51,12 @@
         """Write a record as a line, or drop it and count it."""
         second = int(record.created)
         if second != self._second:
-            self._second, self._lines_this_second = second, 0
+            self._second = second
+            self._lines_this_second_by_logger.clear()
             self._report_dropped(record)
-        self._lines_this_second += 1
-        if self._lines_this_second > _MAX_LINES_PER_S and record.levelno < logging.WARNING:
+        self._lines_this_second_by_logger[record.name] += 1
+        lines = self._lines_this_second_by_logger[record.name]
+        if lines > _MAX_LINES_PER_S_AND_LOGGER and record.levelno < logging.WARNING:
             self._drop()
         else:
             self._write(self.format(record))
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import select
+import time
 from typing import Any
 
 from circuits.core.pollers import BasePoller, _disconnect, _read, _write
@@ -37,7 +38,11 @@
 
 
 class LoopPoller(BasePoller):
-    """Monitors sockets by epoll."""
+    """Monitors sockets by epoll.
+
+    :ivar longest_recent_turn_s: longest turn of the event loop since it was last taken, without the
+        time in which the loop waited for events.
+    """
 
     channel = "loop-poller"
 
@@ -47,6 +52,13 @@
         self._registration_by_fd: dict[Any, _Registration] = {}
         self._registration_by_fileno: dict[int, _Registration] = {}
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
+        self._turn_started_at = time.monotonic()
+        self.longest_recent_turn_s = 0.0
+
+    def take_longest_turn_s(self) -> float:
+        """Return the longest recent turn, and start to measure anew."""
+        longest, self.longest_recent_turn_s = self.longest_recent_turn_s, 0.0
+        return longest
 
     def addReader(self, source: Any, fd: Any) -> None:  # noqa: N802
         """Start monitoring a socket for input."""
@@ -116,10 +128,14 @@
 
     def _generate_events(self, event: Any) -> None:
         timeout = event.time_left
+        turn_s = time.monotonic() - self._turn_started_at
+        self.longest_recent_turn_s = max(self.longest_recent_turn_s, turn_s)
         try:
             ready = self._epoll.poll(None if timeout < 0 else timeout)
         except InterruptedError:
             return
+        finally:
+            self._turn_started_at = time.monotonic()
         for fileno, events in ready:
             if fileno == self._ctrl_recv:
                 os.read(self._ctrl_recv, 1)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/conftest.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/conftest.py
@@ -24,7 +24,7 @@
 
     def __init__(self):
         super().__init__()
-        LoopPoller().register(self)
+        self.poller = LoopPoller().register(self)
         self.timers = Timers().register(self)
         self.errors = []
 
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_poller.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_poller.py
@@ -1,6 +1,7 @@
 """The poller of the event loop, over real sockets."""
 
 import socket
+import time
 
 import pytest
 from circuits.core import BaseComponent, handler
@@ -129,3 +130,11 @@
         right.close()
         assert ("disconnect", left) in run_loop()
         assert run_loop() == set()
+
+
+def test_a_long_turn_of_the_loop_is_measured_once(loop):
+    """Guards against a router that is late without a metric that shows it."""
+    loop.call(loop.poller.take_longest_turn_s)
+    loop.call(lambda: time.sleep(0.2))
+    assert loop.call(loop.poller.take_longest_turn_s) >= 0.2
+    assert loop.call(loop.poller.take_longest_turn_s) < 0.2
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -27,7 +27,7 @@
 )
 from parsleyrudder_adapters.http_client import HttpClient
 from parsleyrudder_adapters.http_server import CallerExchange, HttpServer
-from parsleyrudder_adapters.logs import BoundedLogHandler, log_event
+from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerLink
 from parsleyrudder_adapters.poller import LoopPoller
 from parsleyrudder_adapters.request_reader import RequestLimits
@@ -39,6 +39,7 @@
 from .dialect import Dialect, StoreDecoder
 from .peers_task import PeersTask
 from .settings import RelaySettings
+from .state_report import StateReport
 from .table_watch import TableWatch, WatchRules
 
 __all__ = ["RelayApp"]
@@ -49,9 +50,6 @@
 _KEY_AGE_FRACTION = 0.85
 _DENIAL_AGE_FRACTION = 0.95
 _EXPIRY_CHECK_INTERVAL_S = 0.25
-_STATE_LOG_INTERVAL_S = 2.0
-# Exported for a configuration age that is unknown, which is infinite.
-_MAX_REPORTED_AGE_S = 1e6
 _DRAIN_CHECK_INTERVAL_S = 0.05
 # Callers that use an earlier list of addresses still connect for some time after SIGTERM.
 _ACCEPT_AFTER_STOP_S = 2.5
@@ -99,7 +97,7 @@
         reload_settings: Callable[[], RelaySettings],
     ) -> None:
         super().__init__()
-        LoopPoller().register(self)
+        poller = LoopPoller().register(self)
         self._settings = settings
         self._decoder = decoder
         self._reload_settings = reload_settings
@@ -162,6 +160,7 @@
         }
         self.api = RelayApi(self.context, rng, self._request_refusal)
         self._http_server = self._listen(settings.callers, self.api)
+        self._state_report = StateReport(self.context, self.api, self._http_server, poller)
         self._endpoint_servers = [
             self._listen(settings.ready, _EndpointHandler(self._handle_readiness)),
             self._listen(settings.addresses, _EndpointHandler(self._handle_addresses)),
@@ -207,7 +206,7 @@
             watch.start()
         self.peers.start()
         self._check_expiry()
-        self._log_state()
+        self._state_report.start()
 
     @handler("relay_reload_requested")
     def _on_reload(self) -> None:
@@ -284,21 +283,8 @@
         self.context.dialect.send_addresses(exchange, self.peers.routers_for_callers(), ttl_s)
 
     def _handle_metrics(self, exchange: CallerExchange) -> None:
-        """Respond with the counters, the histograms and gauges of the current state."""
-        context, at = self.context, now()
-        metrics = context.metrics
-        metrics.set_gauge("requests", self.api.active_calls)
-        metrics.set_gauge("routers", len(context.view.live_routers(at)))
-        metrics.set_gauge("targets", len(context.targets.by_id))
-        metrics.set_gauge(
-            "config_age_seconds", min(context.active_config.age_s(at), _MAX_REPORTED_AGE_S)
-        )
-        if context.active_config.config is not None:
-            metrics.set_gauge("config_version", context.active_config.config.version)
-        for log in logging.getLogger().handlers:
-            if isinstance(log, BoundedLogHandler):
-                metrics.set_gauge("log_lines_dropped", log.dropped)
-        exchange.respond(200, metrics.text().encode(), [("Content-Type", "text/plain")])
+        text = self._state_report.metrics_text()
+        exchange.respond(200, text.encode(), [("Content-Type", "text/plain")])
 
     def _on_config(self, page: FeedPage) -> None:
         try:
@@ -344,26 +330,6 @@
             log_event(_LOGGER, "target_ignored", logging.WARNING, reason=error)
             return None
 
-    def _log_state(self) -> None:
-        """Log the state of this router periodically, at a rate that does not depend on the load."""
-        self.context.timers.after(_STATE_LOG_INTERVAL_S, self._log_state)
-        at = now()
-        config = self.context.active_config.config
-        loads = self.context.loads
-        targets = self.context.targets.by_id.values()
-        log_event(
-            _LOGGER,
-            "state",
-            routers=len(self.context.view.live_routers(at)),
-            targets=len(targets),
-            version=config.version if config else None,
-            config_age_s=self.context.active_config.age_s(at),
-            requests=self.api.active_calls,
-            running="/".join(str(loads.running(t.id)) for t in targets),
-            unread="/".join(str(loads.pending_prefill_tokens(t.id)) for t in targets),
-            tokens_per_s="/".join(str(round(loads.prefill_tokens_per_s(t.id))) for t in targets),
-        )
-
     def _check_expiry(self) -> None:
         """Drop lapsed targets and update the readiness; both change with time alone."""
         self.context.timers.after(_EXPIRY_CHECK_INTERVAL_S, self._check_expiry)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -355,6 +355,7 @@
         self._is_finished = True
         self._deadline_timer.cancel()
         self.pool.admission.withdraw(self.id)
+        self.context.metrics.count("finished", outcome=outcome, pool=self.pool.name)
         self._trace.log(
             self._relayed_request, self.waiting_request, self.pool.name, outcome, reason, now()
         )
