Accept all waiting connections in one turn of the event loop

The cause is a standing queue: one connection was accepted a turn, from a queue of up to 4,096.

The new Listener accepts up to 64 waiting connections a turn, behind a queue of 512, and waits 50 ms when accept fails for lack of descriptors, where the loop used to spin.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
@@ -1,8 +1,9 @@
 """HTTP server for callers: accepts connections and writes the responses.
 
-circuits.web accepts the connections; its request parser and its response writer are not used. The
-request reader (see :mod:`.request_reader`) delivers complete requests. Each becomes a
-:class:`CallerExchange`, to which a handler responds at once or as a stream.
+The listener accepts the connections (see :mod:`.listener`). The request parser and the response
+writer of circuits.web are not used: the request reader (see :mod:`.request_reader`) delivers
+complete requests. Each becomes a :class:`CallerExchange`, to which a handler responds at once or as
+a stream.
 """
 
 import functools
@@ -13,12 +14,12 @@
 import time
 from collections.abc import Callable, Iterable
 from email.utils import formatdate
-from typing import Any, Protocol
+from typing import Protocol
 
 from circuits.core import BaseComponent, Event, handler
-from circuits.web.servers import BaseServer
 from parsleyrudder import Failure, Outcome, failure
 
+from .listener import Listener
 from .logs import log_event
 from .request_reader import CallerRequest, RequestLimits, RequestReader, error_body
 from .timers import Timers
@@ -45,7 +46,6 @@
 )
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 _BODILESS_STATUSES = (204, 205, 304)
-_ACCEPT_BACKLOG = 128
 
 
 class RequestHandler(Protocol):
@@ -219,26 +219,6 @@
         self._server.finish_exchange(self._sock)
 
 
-class _Listener(BaseServer):
-    """circuits.web's server without its own signal handling, which would abort running requests."""
-
-    @handler("signal", override=True)
-    def _on_signal(self, *args: Any) -> None:
-        """Ignore the event: the application object handles signals."""
-
-    @handler("ready", override=True)
-    def _on_ready(self, server: Any, bind: Any) -> None:
-        """Ignore the event: the application object logs the start."""
-
-    def release(self, sock: socket.socket) -> bool:
-        """Give up an accepted connection; return whether it was still open here."""
-        if sock not in self.server._clients:
-            return False
-        self.server._clients.remove(sock)
-        self.server._poller.discard(sock)
-        return True
-
-
 class _Ended(Event):
     """A response is complete."""
 
@@ -260,7 +240,7 @@
         super().__init__()
         self.request_reader = RequestReader(timers, limits, self._on_request, self._on_gone)
         self._sockets = self.request_reader.sockets.register(self)
-        self._listener = _Listener(bind, display_banner=False).register(self)
+        self._listener = Listener(timers, bind, self._on_accepted).register(self)
         self._handler = handler
         self._exchange_by_sock: dict[socket.socket, CallerExchange] = {}
         self.accepted_count = 0
@@ -282,11 +262,7 @@
 
     def stop_listening(self) -> None:
         """Accept the pending connections, then close the listening socket."""
-        server = self._listener.server
-        for _ in range(_ACCEPT_BACKLOG):
-            for _ in server._accept():
-                pass
-        server._close(server._sock)
+        self._listener.stop_listening()
 
     def write(self, sock: socket.socket, data: bytes) -> None:
         """Send bytes of a response."""
@@ -312,11 +288,9 @@
         else:
             self._sockets.close(sock)
 
-    @handler("connect")
-    def _on_connect(self, sock: socket.socket, *address: object) -> None:
-        if self._listener.release(sock):
-            self.accepted_count += 1
-            self.request_reader.add_connection(sock)
+    def _on_accepted(self, sock: socket.socket) -> None:
+        self.accepted_count += 1
+        self.request_reader.add_connection(sock)
 
     @handler("answer_ended")
     def _on_answer_ended(self, sock: socket.socket) -> None:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_accept_queue.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_accept_queue.py
@@ -1,11 +1,13 @@
 """Connections that wait to be accepted while the event loop is busy, over real sockets."""
 
+import errno
 import socket
 import threading
 
 import pytest
 from circuits.core import BaseComponent, handler
 from parsleyrudder_adapters.http_server import HttpServer
+from parsleyrudder_adapters.listener import Listener
 from parsleyrudder_adapters.request_reader import RequestLimits
 
 WAITING = 300
@@ -70,7 +72,7 @@
     blocker = threading.Thread(target=lambda: results.append(loop.call(block)))
     blocker.start()
     is_busy.wait()
-    socks = []
+    socks: list[socket.socket] = []
     for number in range(WAITING):
         sock = socket.create_connection(("127.0.0.1", server.port))
         sock.sendall(GET % str(number).encode())
@@ -94,3 +96,54 @@
     assert requests.turn_by_target[last] - first_turn <= MAX_TURNS
     for sock in socks:
         sock.close()
+
+
+class ListeningSocket:
+    """Fails as scripted, then has a number of connections, then would block."""
+
+    def __init__(self, errors, connections):
+        self.errors = list(errors)
+        self.connections = [socket.socket() for _ in range(connections)]
+        self.calls = 0
+
+    def accept(self):
+        self.calls += 1
+        if self.errors:
+            raise self.errors.pop(0)
+        if not self.connections:
+            raise BlockingIOError
+        return self.connections.pop(), ("127.0.0.1", 1)
+
+
+@pytest.mark.parametrize(
+    ("code", "accepted"),
+    [(errno.ECONNABORTED, 3), (errno.EPERM, 3), (errno.EMFILE, 0), (errno.ENOBUFS, 0)],
+)
+def test_failed_accept_neither_ends_the_listener_nor_makes_the_loop_spin(loop, code, accepted):
+    """Guards against a listener that stops at a lost connection or spins without descriptors."""
+    socks: list[socket.socket] = []
+
+    def start():
+        return Listener(loop.timers, ("127.0.0.1", 0), socks.append).register(loop)
+
+    listener = loop.call(start)
+    loop.wait_until(lambda: loop.call(lambda: loop.poller.isReading(listener._sock)))
+    listening_sock = ListeningSocket([OSError(code, "scripted")], 3)
+
+    def accept():
+        listener.on_readable(listening_sock)
+        return len(socks), listening_sock.calls
+
+    assert loop.call(accept) == (accepted, 5 if accepted else 1)
+    for sock in socks:
+        sock.close()
+
+
+def test_listener_accepts_again_once_descriptors_are_free(loop, server, requests):
+    """Guards against a router that takes no connection after it ran out of descriptors."""
+    listening_sock = server._listener._sock
+    error = OSError(errno.EMFILE, "scripted")
+    loop.call(lambda: server._listener._pause(listening_sock, error))
+    with socket.create_connection(("127.0.0.1", server.port)) as sock:
+        sock.sendall(GET % b"later")
+        loop.wait_until(lambda: "/later" in requests.turn_by_target)
