Limit callers' connections by the descriptors of the instance

The limit follows from the new setting descriptors, filled in by the platform. Refusals beyond it lacked Retry-After, so that callers came back at once; the extended test failed before.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -366,8 +366,10 @@
         head = (
             f"HTTP/1.1 {refusal.kind.status} Refused\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nX-Rudder-Outcome: {refusal.outcome}\r\n"
-            "Connection: close\r\n\r\n"
         )
+        if refusal.retry_after_s is not None:
+            head += f"Retry-After: {max(1, round(refusal.retry_after_s))}\r\n"
+        head += "Connection: close\r\n\r\n"
         self.sockets.write(sock, head.encode() + body)
         self.sockets.close_lingering(sock)
 
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_server.py
@@ -346,8 +346,9 @@
     """Guards against unlimited connections, and against a limit that counts closed ones."""
     socks = [connect(server) for _ in range(LIMITS.connections)]
     with connect(server) as sock:
-        ((status, _, body),) = read_responses(sock, ["GET"])
+        ((status, headers, body),) = read_responses(sock, ["GET"])
         assert (status, json.loads(body)["error"]["code"]) == (503, "too_many_connections")
+        assert headers["retry-after"] == "1"
     for sock in socks:
         sock.close()
     loop.wait_until(lambda: server.request_reader.connection_count == 0)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -251,7 +251,7 @@
             server = HttpServer(
                 self.context.timers,
                 (host, int(port)),
-                RequestLimits(),
+                RequestLimits(connections=self._settings.max_caller_connections),
                 handler,  # type: ignore[arg-type]
             )
         except OSError as error:
@@ -301,6 +301,7 @@
             header_bytes=config.limits.header_bytes,
             target_bytes=config.limits.header_bytes,
             body_bytes=config.limits.body_bytes,
+            connections=self._settings.max_caller_connections,
             request_s=max(config.limits.header_timeout_s, 1.0),
             idle_s=config.limits.idle_timeout_s,
         )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
@@ -11,6 +11,9 @@
 __all__ = ["RelayBounds", "RelaySettings", "load_relay_settings"]
 
 _REMEDY = "correct the settings file and start again"
+# Descriptors for files, listening sockets, the store and the other routers.
+_RESERVED_DESCRIPTORS = 400
+_MIN_CALLER_CONNECTIONS = 16
 _Seconds = Annotated[float, Meta(ge=0, le=86400)]
 
 
@@ -51,6 +54,7 @@
     :ivar seeds: ``peers`` addresses of routers to contact while no peer is known; they may be down.
     :ivar store: address of the store.
     :ivar metrics: address to listen on for requests for the metrics.
+    :ivar descriptors: number of descriptors that the process may have open.
     :ivar log_level: minimum level of logged events.
     """
 
@@ -63,9 +67,19 @@
     store: Address
     metrics: Address
     seeds: list[Address] = []
+    descriptors: Annotated[int, Meta(ge=64)] = 8192
     log_level: str = "INFO"
     bounds: RelayBounds = msgspec.field(default_factory=RelayBounds)
 
+    @property
+    def max_caller_connections(self) -> int:
+        """Number of callers' connections that leave enough descriptors to serve them.
+
+        Each request that is relayed needs a second connection, to its target.
+        """
+        available = (self.descriptors - _RESERVED_DESCRIPTORS) // 2
+        return max(_MIN_CALLER_CONNECTIONS, available)
+
 
 def load_relay_settings(path: str) -> RelaySettings:
     """Load the settings from a file.
