Replace the longest idle connection at the limit of connections

With the limit that follows from the descriptors, new callers would be refused for the sake of connections that nobody uses. At the limit a new connection now replaces the one whose last response is the longest ago; connections that have sent no request yet, or have one in progress, are kept.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_request.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_request.py
@@ -1,12 +1,14 @@
 """Completely received requests of callers, and the limits enforced on them."""
 
+import re
 from dataclasses import dataclass
 from typing import Annotated
 
 import msgspec
 
-__all__ = ["CallerRequest", "RequestLimits"]
+__all__ = ["CallerRequest", "RequestLimits", "origin_form"]
 
+_ABSOLUTE_FORM_PREFIX = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _CONNECTIONS_DESCRIPTION = "write a whole number from 1 to 65536"
 _Bytes = Annotated[
     int,
@@ -56,3 +58,12 @@
     keep_alive: bool
     http_1_0: bool = False
     raw_headers: tuple[tuple[str, str], ...] = ()
+
+
+def origin_form(target: str) -> str:
+    """Return path and query of a target; servers must accept absolute form (RFC 9112, 3.2.2)."""
+    match = _ABSOLUTE_FORM_PREFIX.match(target)
+    if match is None:
+        return target
+    rest = target[match.end() :]
+    return rest if rest.startswith("/") else "/" + rest
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -19,7 +19,7 @@
 import h11
 from parsleyrudder import Failure, failure
 
-from .caller_request import CallerRequest, RequestLimits
+from .caller_request import CallerRequest, RequestLimits, origin_form
 from .caller_sockets import CallerSockets
 from .chunk_sizes import ChunkSizeParser
 from .logs import log_event
@@ -36,7 +36,6 @@
 _METHOD_START = re.compile(rb"[A-Za-z]")
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:[ \t]*([^\r]*)", re.IGNORECASE)
 _CONTENT_LENGTH_VALUE = re.compile(rb"[0-9]{1,18}[ \t]*")
-_ABSOLUTE_FORM_PREFIX = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 # A second value of one of these headers would make it ambiguous who the caller is, or whether the
 # request may be repeated.
 _SINGLE_VALUE_HEADERS = frozenset(
@@ -109,6 +108,8 @@
         self._on_gone = on_gone
         self._on_refused = on_refused
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
+        # Connections whose last response is complete, in the order of these responses.
+        self._idle_socks: dict[socket.socket, None] = {}
 
     @property
     def connection_count(self) -> int:
@@ -132,7 +133,9 @@
                 self.sockets.close(sock)
 
     def add_connection(self, sock: socket.socket) -> None:
-        """Take over an accepted connection."""
+        """Take over an accepted connection; beyond the limit, it replaces the longest idle one."""
+        if len(self._connection_by_sock) >= self._limits.connections and self._idle_socks:
+            self.sockets.close(next(iter(self._idle_socks)))
         excess = len(self._connection_by_sock) - self._limits.connections
         if excess >= _MAX_REFUSED_CONNECTIONS:
             sock.close()
@@ -164,12 +167,15 @@
         self._set_deadline(sock, connection, self._limits.idle_s)
         if connection.input:
             self._parse(sock, connection, is_new_request=True)
+        else:
+            self._idle_socks[sock] = None
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """See :class:`SocketEventHandler`."""
         connection = self._connection_by_sock[sock]
         if connection.refused:
             return
+        self._idle_socks.pop(sock, None)
         is_new_request = not connection.input and connection.parser is None
         connection.input += data
         if not connection.responding:
@@ -190,6 +196,7 @@
         connection = self._connection_by_sock.pop(sock, None)
         if connection is None:
             return
+        self._idle_socks.pop(sock, None)
         if connection.timer is not None:
             connection.timer.cancel()
         if connection.responding:
@@ -299,7 +306,7 @@
                     return failure("bad_request", f"{name.decode()} is given more than once")
         if len(request.target) > self._limits.target_bytes:
             return failure("uri_too_long", f"target over {self._limits.target_bytes} bytes")
-        if not _origin_form(request.target.decode("ascii")).startswith("/"):
+        if not origin_form(request.target.decode("ascii")).startswith("/"):
             return failure("bad_request", "the target is neither a path nor an http URL")
         length = dict(request.headers).get(b"content-length", b"0")
         if int(length) > self._limits.body_bytes:
@@ -317,7 +324,7 @@
         connection.responding = True
         caller_request = CallerRequest(
             request.method.decode("ascii"),
-            _origin_form(request.target.decode("ascii")),
+            origin_form(request.target.decode("ascii")),
             headers,
             bytes(connection.body),
             connection.keep_alive,
@@ -384,12 +391,3 @@
         "request_id": request_id,
     }
     return json.dumps({"error": error}).encode()
-
-
-def _origin_form(target: str) -> str:
-    """Return path and query of a target; servers must accept absolute form (RFC 9112, 3.2.2)."""
-    match = _ABSOLUTE_FORM_PREFIX.match(target)
-    if match is None:
-        return target
-    rest = target[match.end() :]
-    return rest if rest.startswith("/") else "/" + rest
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_server.py
@@ -357,6 +357,27 @@
         assert read_responses(sock, ["GET"])[0][0] == 200
 
 
+def test_idle_connections_make_room_for_new_ones_the_longest_idle_first(loop, server, handler):
+    """Guards against callers refused for the sake of connections that nobody uses."""
+    idle = [connect(server) for _ in range(LIMITS.connections - 1)]
+    with contextlib.ExitStack() as stack:
+        for sock in [*idle, busy := stack.enter_context(connect(server))]:
+            sock.sendall(GET)
+            assert read_responses(sock, ["GET"])[0][0] == 200
+        busy.sendall(GET.replace(b"/a", b"/hold"))
+        loop.wait_until(lambda: handler.open)
+        new = stack.enter_context(connect(server))
+        new.sendall(GET)
+        assert read_responses(new, ["GET"])[0][0] == 200
+        assert is_closed(idle[0])
+        idle[1].sendall(GET)
+        assert read_responses(idle[1], ["GET"])[0][0] == 200
+        loop.call(lambda: handler.open[0].respond(200, b"held"))
+        assert read_responses(busy, ["GET"])[0][2] == b"held"
+    for sock in idle:
+        sock.close()
+
+
 def test_error_response_survives_body_still_being_sent(server):
     """Guards against a reset that discards the error response before the caller has read it."""
     with connect(server) as sock:
