End exchanges with servers that send bytes without end

A server in trouble may send bytes that are no response until the caller closes. Tried by a test of ten kinds: seven ended at once by the limits of h11, but endless informational responses, an endless response to an earlier request and endless responses to others were read until the deadline of the request, at the pace at which the server sends, so that one connection could occupy the event loop. A refusal with an endless body kept its caller waiting although the target had said that it would not run the request.

The HTTP client fails an exchange after 256 KB without the head of its response; an attempt takes a refusal as such after 64 KB of its body.

Not covered: a stream of endless well-formed events without ids is relayed until the deadline.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -7,11 +7,8 @@
 
 import contextlib
 import ipaddress
-import math
 import socket
 import time
-from collections import deque
-from dataclasses import dataclass, field
 
 import h11
 from circuits.core import BaseComponent, handler
@@ -19,72 +16,16 @@
 from circuits.core.utils import findcmp
 from parsleyrudder import ResponseListener
 
+from .http_exchange import Connection, Exchange
 from .http_messages import HttpRequest, max_idle_s, serialize_request
-from .timers import Timer, Timers
+from .timers import Timers
 
 __all__ = ["Exchange", "HttpClient", "HttpRequest"]
 
 _RECV_BYTES = 65536
 _MAX_IDLE_PER_ADDRESS = 8
-
-
-class Exchange:
-    """One request and its response.
-
-    :ivar sent: whether any byte of the request was sent.
-    """
-
-    __slots__ = ("_client", "connection", "listener", "request", "sent", "timer")
-
-    def __init__(
-        self, client: "HttpClient", request: HttpRequest, listener: ResponseListener
-    ) -> None:
-        self._client = client
-        self.request = request
-        self.listener: ResponseListener | None = listener
-        self.connection: _Connection | None = None
-        self.sent = False
-        self.timer: Timer | None = None
-
-    def may_send(self) -> bool:
-        """Whether sending the request may start or continue."""
-        may_send = self.request.may_send
-        return self.sent or may_send is None or may_send()
-
-    def cancel(self) -> None:
-        """Close the connection; the listener is not called any more."""
-        self.listener = None
-        self._client.drop(self)
-
-    def pause(self) -> None:
-        """Stop reading the response."""
-        self._client.set_reading(self, False)
-
-    def resume(self) -> None:
-        """Continue reading the response."""
-        self._client.set_reading(self, True)
-
-
-@dataclass(slots=True, eq=False)
-class _Connection:
-    """One connection to a server.
-
-    :ivar is_skipping_response: whether the current response belongs to an earlier request.
-    :ivar idle_until: time until which another request may reuse the connection.
-    """
-
-    address: str
-    sock: socket.socket
-    parser: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
-    exchange: Exchange | None = None
-    send_queue: deque[bytes] = field(default_factory=deque)
-    connected: bool = False
-    write_failed: bool = False
-    is_skipping_response: bool = False
-    idle_until: float = math.inf
-    timer: Timer | None = None
-    reading: bool = False
-    writing: bool = False
+# Bytes that a server may send before a response, as informational and late other responses.
+_MAX_IGNORED_BYTES = 262144
 
 
 class HttpClient(BaseComponent):
@@ -96,8 +37,8 @@
         super().__init__()
         self._timers = timers
         self._connect_timeout_s = connect_timeout_s
-        self._connection_by_sock: dict[socket.socket, _Connection] = {}
-        self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._connection_by_sock: dict[socket.socket, Connection] = {}
+        self._idle_by_address: dict[str, list[Connection]] = {}
         self._cached_poller: BasePoller | None = None
 
     @property
@@ -138,6 +79,8 @@
             self._timers.after(0.0, lambda: self._fail(exchange, reason))
             return exchange
         connection.exchange = exchange
+        connection.ignored_bytes = 0
+        connection.has_response_started = False
         exchange.connection = connection
         if not connection.connected:
             limit = self._connect_timeout_s
@@ -172,7 +115,7 @@
             for connection in list(connections):
                 self._close(connection)
 
-    def _pop_idle(self, address: str) -> _Connection | None:
+    def _pop_idle(self, address: str) -> Connection | None:
         """Return an idle connection that the server is not known to have closed."""
         idle = self._idle_by_address.get(address)
         while idle:
@@ -189,7 +132,7 @@
             self._close(connection)
         return None
 
-    def _connect(self, address: str) -> _Connection:
+    def _connect(self, address: str) -> Connection:
         """Open a connection.
 
         :raises ValueError: if the host is not an IPv4 address, as resolving a name would block the
@@ -204,13 +147,13 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = _Connection(address, sock)
+        connection = Connection(address, sock)
         self._connection_by_sock[sock] = connection
         sock.connect_ex((ip_address, port_number))
         return connection
 
     def _set_interest(
-        self, connection: _Connection, reading: bool | None = None, writing: bool | None = None
+        self, connection: Connection, reading: bool | None = None, writing: bool | None = None
     ) -> None:
         poller = self._poller
         if reading is not None and reading != connection.reading:
@@ -246,7 +189,7 @@
             self._set_interest(connection, reading=True)
         self._send_queued(connection)
 
-    def _send_queued(self, connection: _Connection) -> None:
+    def _send_queued(self, connection: Connection) -> None:
         """Send queued bytes until the socket would block; errors are reported on reading."""
         exchange = connection.exchange
         if exchange is not None and not exchange.may_send():
@@ -273,7 +216,7 @@
             connection.write_failed = True
         self._set_interest(connection, writing=False)
 
-    def _fail_unsent(self, connection: _Connection, exchange: Exchange) -> None:
+    def _fail_unsent(self, connection: Connection, exchange: Exchange) -> None:
         if connection.exchange is exchange:
             self._fail_connection(connection, "the request may not be sent any more")
 
@@ -304,9 +247,14 @@
         if connection is not None:
             self._fail_connection(connection, "connection lost")
 
-    def _parse(self, connection: _Connection, data: bytes) -> None:
+    def _parse(self, connection: Connection, data: bytes) -> None:
         """Parse received bytes; empty ``data`` means that the server closed the connection."""
         exchange = connection.exchange
+        if not connection.has_response_started:
+            connection.ignored_bytes += len(data)
+            if connection.ignored_bytes > _MAX_IGNORED_BYTES:
+                self._fail_connection(connection, "too many bytes without a response")
+                return
         try:
             connection.parser.receive_data(data)
             while exchange is not None and exchange.listener is not None:
@@ -331,18 +279,19 @@
             self._fail_connection(connection, f"protocol error: {error}")
 
     def _handle_head(
-        self, connection: _Connection, exchange: Exchange, response: h11.Response
+        self, connection: Connection, exchange: Exchange, response: h11.Response
     ) -> None:
         headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in response.headers]
         accepts_response = exchange.request.accepts_response
         if accepts_response is not None and not accepts_response(response.status_code, headers):
             connection.is_skipping_response = True
             return
+        connection.has_response_started = True
         connection.idle_until = time.monotonic() + max_idle_s(headers)
         if exchange.listener is not None:
             exchange.listener.on_head(response.status_code, headers)
 
-    def _skip_to_next_response(self, connection: _Connection, exchange: Exchange) -> None:
+    def _skip_to_next_response(self, connection: Connection, exchange: Exchange) -> None:
         """Parse the bytes after a response that belonged to an earlier request."""
         trailing_bytes = connection.parser.trailing_data[0]
         connection.is_skipping_response = False
@@ -353,7 +302,7 @@
             # Empty data would mean that the server has closed the connection.
             connection.parser.receive_data(trailing_bytes)
 
-    def _complete(self, connection: _Connection, exchange: Exchange) -> None:
+    def _complete(self, connection: Connection, exchange: Exchange) -> None:
         if exchange.timer is not None:
             exchange.timer.cancel()
         exchange.connection = None
@@ -371,7 +320,7 @@
         if listener is not None:
             listener.on_end()
 
-    def _add_idle(self, connection: _Connection) -> None:
+    def _add_idle(self, connection: Connection) -> None:
         idle = self._idle_by_address.setdefault(connection.address, [])
         if len(idle) >= _MAX_IDLE_PER_ADDRESS:
             self._close(connection)
@@ -379,7 +328,7 @@
         self._set_interest(connection, reading=True)
         idle.append(connection)
 
-    def _fail_connection(self, connection: _Connection, reason: str) -> None:
+    def _fail_connection(self, connection: Connection, reason: str) -> None:
         exchange = connection.exchange
         self._close(connection)
         if exchange is not None:
@@ -392,7 +341,7 @@
         if listener is not None:
             listener.on_failed(exchange.sent, reason)
 
-    def _close(self, connection: _Connection) -> None:
+    def _close(self, connection: Connection) -> None:
         if self._connection_by_sock.pop(connection.sock, None) is None:
             return
         if connection.timer is not None:
--- /dev/null
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
@@ -0,0 +1,90 @@
+"""State of the HTTP client: its connections, and the exchanges on them."""
+
+import math
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+from parsleyrudder import ResponseListener
+
+from .http_messages import HttpRequest
+from .timers import Timer
+
+__all__ = ["Connection", "Exchange", "ExchangeOwner"]
+
+
+class ExchangeOwner(Protocol):
+    """The client that sends the request of an exchange."""
+
+    def drop(self, exchange: "Exchange") -> None:
+        """Close the connection of an exchange."""
+        ...
+
+    def set_reading(self, exchange: "Exchange", reading: bool) -> None:
+        """Start or stop reading from the server."""
+        ...
+
+
+class Exchange:
+    """One request and its response.
+
+    :ivar sent: whether any byte of the request was sent.
+    """
+
+    __slots__ = ("_client", "connection", "listener", "request", "sent", "timer")
+
+    def __init__(
+        self, client: ExchangeOwner, request: HttpRequest, listener: ResponseListener
+    ) -> None:
+        self._client = client
+        self.request = request
+        self.listener: ResponseListener | None = listener
+        self.connection: Connection | None = None
+        self.sent = False
+        self.timer: Timer | None = None
+
+    def may_send(self) -> bool:
+        """Whether sending the request may start or continue."""
+        may_send = self.request.may_send
+        return self.sent or may_send is None or may_send()
+
+    def cancel(self) -> None:
+        """Close the connection; the listener is not called any more."""
+        self.listener = None
+        self._client.drop(self)
+
+    def pause(self) -> None:
+        """Stop reading the response."""
+        self._client.set_reading(self, False)
+
+    def resume(self) -> None:
+        """Continue reading the response."""
+        self._client.set_reading(self, True)
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One connection to a server.
+
+    :ivar is_skipping_response: whether the current response belongs to an earlier request.
+    :ivar has_response_started: whether the head of the response has been received.
+    :ivar ignored_bytes: bytes received since the request and before the head of its response.
+    :ivar idle_until: time until which another request may reuse the connection.
+    """
+
+    address: str
+    sock: socket.socket
+    parser: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+    exchange: Exchange | None = None
+    send_queue: deque[bytes] = field(default_factory=deque)
+    connected: bool = False
+    write_failed: bool = False
+    is_skipping_response: bool = False
+    has_response_started: bool = False
+    ignored_bytes: int = 0
+    idle_until: float = math.inf
+    timer: Timer | None = None
+    reading: bool = False
+    writing: bool = False
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Attempt", "AttemptOwner"]
 
+# A refusal with a longer body ends without waiting for the rest, which may never end.
+_MAX_REFUSAL_BODY_BYTES = 65536
+
 
 class AttemptOwner(Protocol):
     """Receiver of the events of the current attempt."""
@@ -37,12 +40,21 @@
     :ivar head: head of the response, once it has been received.
     """
 
-    __slots__ = ("_dialect", "_is_finished", "_owner", "exchange", "head", "target")
+    __slots__ = (
+        "_dialect",
+        "_is_finished",
+        "_owner",
+        "_refusal_bytes",
+        "exchange",
+        "head",
+        "target",
+    )
 
     def __init__(self, owner: AttemptOwner, dialect: Dialect, target: Target) -> None:
         self._owner = owner
         self._dialect = dialect
         self._is_finished = False
+        self._refusal_bytes = 0
         self.target = target
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
@@ -66,8 +78,15 @@
 
     def on_data(self, data: bytes) -> None:
         """Handle a part of the body; the body of a refusal is ignored."""
-        if self.head is not None and not self.head.is_not_run and not self._is_finished:
+        if self.head is None or self._is_finished:
+            return
+        if not self.head.is_not_run:
             self._owner.on_attempt_data(data)
+            return
+        self._refusal_bytes += len(data)
+        if self._refusal_bytes > _MAX_REFUSAL_BODY_BYTES:
+            self.cancel()
+            self._owner.on_attempt_failed(SendEnd.REFUSED, f"status {self.head.status}")
 
     def on_end(self) -> None:
         """Handle the end of a complete response."""
