Shed load at a router whose event loop is overloaded

Each request was read when its caller was about to leave, and the router still said that it was ready.

While turns are long (50 ms on the mean, twice 0.2 s in a row), a router limits the requests per organisation, the same for all, so that only the largest are limited; the rest gets 503 with Retry-After at once. It is not ready meanwhile, so that address answers name other routers.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -4,6 +4,7 @@
 serve in time, through several routers that each see only a part of the traffic.
 """
 
+from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets, PromptVolume
 from .pool_admission import AdmissionRules, Decision, Placed, PoolAdmission, Refused
@@ -14,6 +15,7 @@
 __all__ = [
     "AdmissionRules",
     "Decision",
+    "LoadShedder",
     "LongPromptTargets",
     "Placed",
     "PoolAdmission",
@@ -21,6 +23,7 @@
     "PromptVolume",
     "Refused",
     "RequestSize",
+    "SheddingRules",
     "TargetLoads",
     "TargetPromptCache",
     "UsageLedger",
--- a/packages/parsleyrudder/parsleyrudder/outcomes.py
+++ b/packages/parsleyrudder/parsleyrudder/outcomes.py
@@ -64,6 +64,7 @@
     FailureKind("draining", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("not_ready", 503, _NOT_RUN, "use another router"),
     FailureKind("table_down", 503, _NOT_RUN, "repeat with the same key after Retry-After"),
+    FailureKind("overloaded", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("too_many_connections", 503, _NOT_RUN, "use another router"),
     FailureKind("server_failed", 502, _UNKNOWN, "check the effect of the call before repeating it"),
     FailureKind("result_lost", 502, _UNKNOWN, "check the effect of the call before repeating it"),
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/listener.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/listener.py
@@ -18,8 +18,9 @@
 __all__ = ["Listener"]
 
 _LOGGER = logging.getLogger(__name__)
-# Connections beyond the backlog are not established, so that their callers soon try another router.
-_BACKLOG = 512
+# What an overloaded router accepts within the second after which callers give up. Connections
+# beyond it are not established, so that their callers soon try another router.
+_BACKLOG = 320
 # Bounds the work that new connections cause before the loop turns to open ones again.
 _MAX_ACCEPTS_PER_TURN = 64
 # Errors of a single connection, which is gone.
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
@@ -10,6 +10,7 @@
 import os
 import select
 import time
+from collections.abc import Callable
 from typing import Any
 
 from circuits.core.pollers import BasePoller, _disconnect, _read, _write
@@ -42,6 +43,7 @@
 
     :ivar longest_recent_turn_s: longest turn of the event loop since it was last taken, without the
         time in which the loop waited for events.
+    :ivar on_turn: called at the end of each turn with its duration and the time, both in seconds.
     """
 
     channel = "loop-poller"
@@ -54,6 +56,7 @@
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
         self._turn_started_at = time.monotonic()
         self.longest_recent_turn_s = 0.0
+        self.on_turn: Callable[[float, float], None] | None = None
 
     def take_longest_turn_s(self) -> float:
         """Return the longest recent turn, and start to measure anew."""
@@ -128,8 +131,11 @@
 
     def _generate_events(self, event: Any) -> None:
         timeout = event.time_left
-        turn_s = time.monotonic() - self._turn_started_at
+        now = time.monotonic()
+        turn_s = now - self._turn_started_at
         self.longest_recent_turn_s = max(self.longest_recent_turn_s, turn_s)
+        if self.on_turn is not None:
+            self.on_turn(turn_s, now)
         try:
             ready = self._epoll.poll(None if timeout < 0 else timeout)
         except InterruptedError:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -18,6 +18,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 _RETRY_AFTER_S = 0.3
+# Range of the time after which callers of an overloaded router may return; spread, so that they do
+# not return at the same moment.
+_OVERLOAD_RETRY_AFTER_S = (0.5, 1.5)
 
 
 class RelayApi:
@@ -65,6 +68,11 @@
         if isinstance(organisation, Failure):
             self._refuse(exchange, organisation, request)
             return
+        if not self._context.load_shedder.admits(organisation.name if organisation else ""):
+            retry_after_s = self._rng.uniform(*_OVERLOAD_RETRY_AFTER_S)
+            refusal = failure("overloaded", "too many requests for this router", retry_after_s)
+            self._refuse(exchange, refusal, request)
+            return
         at = now()
         timeout_s = route.timeout_s
         elapsed_s = 0.0
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -128,6 +128,7 @@
                 _KEY_AGE_FRACTION * bounds.revoke_s, _DENIAL_AGE_FRACTION * bounds.apply_s
             ),
         )
+        poller.on_turn = self.context.load_shedder.record_turn
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.response_timeout_s)
         self.peers = PeersTask(self.context, feed, decoder.router_table, rng)
@@ -176,6 +177,8 @@
             return failure("draining", "this router is stopping", 0.1)
         if not self.context.active_config.may_use_keys(now()):
             return failure("cut_off", "the store has not answered for too long", 0.3)
+        if self.context.load_shedder.is_overloaded:
+            return failure("overloaded", "this router limits the requests per organisation", 1.0)
         return None
 
     def _request_refusal(self) -> Failure | None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
@@ -6,6 +6,7 @@
 from parsleyrudder import (
     ActiveTrafficConfig,
     FleetView,
+    LoadShedder,
     LongPromptTargets,
     PromptCacheIndex,
     TargetDirectory,
@@ -45,6 +46,7 @@
     usage: UsageLedger = field(default_factory=UsageLedger)
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
     long_prompt_targets: LongPromptTargets = field(default_factory=LongPromptTargets)
+    load_shedder: LoadShedder = field(default_factory=LoadShedder)
     metrics: Metrics = field(default_factory=Metrics)
     is_stopping: bool = False
 
