--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -226,10 +226,17 @@
             "send_failed",
             request=self._request.id,
             target=attempt.target.id,
+            lifetime=attempt.target.lifetime,
             end=end,
+            responding=self._has_response_started,
+            parts=",".join(part.id for part in self.waiting_request.size.parts) or None,
+            organisation=self.waiting_request.organisation or None,
+            sent_count=self._relayed_request.sent_count,
             reason=reason,
         )
         self.context.metrics.count("sends_failed", end=end, pool=self.pool.name)
+        if end is SendEnd.BROKEN and not self._has_response_started:
+            self.context.metrics.count("broken_before_response", pool=self.pool.name)
         if end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
             self.pool.admission.refund(self.waiting_request, now())
         if is_withheld and self._exchange.is_gone():
