Reject requests with a prompt part on which targets crash

Cause: nothing linked a crash to what the requests have in common. A router took the crash for a failure of the target, ejected it and sent the next request with the same part to another one, and each router saw only a few of the crashes. Class: a query of death without quarantine. Ruled out: retries (each request in the logs was tried at one target) and overload as the cause (the requests without a first event shared organisation and route in each crash with lines of them, while others of that route were answered).

Change: CrashSuspects blames the shared parts of the requests whose responses had not begun when a target crashed; a response clears the parts of its prompt. A part with crashes in two waves (or three at once) and no response in between is quarantined, with three waves if it was sound before. Routers merge what they see through the load reports, so that a restarted router learns it within one report. One router tries a quarantined part after 10 s, 40 s and so on; a response ends the quarantine everywhere. Broken responses of a target that goes on to respond are no crash. The rejection is 503 with the time until the next trial, at once and before any demand is counted.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -4,6 +4,7 @@
 serve in time, through several routers that each see only a part of the traffic.
 """
 
+from .crash_suspects import CrashRules, CrashSuspects, PartKey, Quarantine
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets, PromptVolume
@@ -14,13 +15,17 @@
 
 __all__ = [
     "AdmissionRules",
+    "CrashRules",
+    "CrashSuspects",
     "Decision",
     "LoadShedder",
     "LongPromptTargets",
+    "PartKey",
     "Placed",
     "PoolAdmission",
     "PromptCacheIndex",
     "PromptVolume",
+    "Quarantine",
     "Refused",
     "RequestSize",
     "SheddingRules",
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -12,6 +12,7 @@
 
 from ..membership import rendezvous
 from ..targets import Target
+from .crash_suspects import CrashSuspects
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets
 from .prompt_cache import PromptCacheIndex
@@ -98,11 +99,13 @@
     """Decision not to send a request to any target.
 
     :ivar retry_after_s: time after which a new request can be expected to be placed.
+    :ivar code: error code; see :func:`parsleyrudder.failure`.
     """
 
     request: WaitingRequest
     reason: str
     retry_after_s: float
+    code: str = "no_server"
 
 
 Decision = Placed | Refused
@@ -122,6 +125,7 @@
     prompt_cache: PromptCacheIndex
     long_prompt_targets: LongPromptTargets
     ejected_targets: Callable[[float], set[str]] = lambda now: set()
+    crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     failure_domain: str = ""
     targets: list[Target] = field(default_factory=list)
     _waiting_by_id: dict[str, WaitingRequest] = field(default_factory=dict)
@@ -141,6 +145,9 @@
 
     def submit(self, request: WaitingRequest, now: float) -> Decision | None:
         """Submit a new request; return the decision, or None if the request is queued."""
+        rejected = self._reject_quarantined(request, now)
+        if rejected is not None:
+            return rejected
         self.usage.record_demand(request.organisation, request.size.cost, now)
         self.long_prompt_targets.record_prompt(request.size.prompt_tokens, now)
         return self.resubmit(request, now)
@@ -202,16 +209,28 @@
     def _decide(self, request: WaitingRequest, now: float) -> Decision | None:
         if now >= request.deadline:
             return self._refuse(request, "the deadline has passed")
+        rejected = self._reject_quarantined(request, now)
+        if rejected is not None:
+            return rejected
         uncached_by_id = self._uncached_by_id(request.size)
         target = self._select_target(request, uncached_by_id, now)
         if target is not None:
             placed = self._placed(request, target, uncached_by_id[target.id])
             self.record_sent(placed, now)
+            request.is_trial = self.crash_suspects.record_trial(request.shared_part_keys, now)
             return placed
         if now >= self._queue_until(request, uncached_by_id):
             return self._refuse(request, _NOT_IN_TIME)
         return None
 
+    def _reject_quarantined(self, request: WaitingRequest, now: float) -> Refused | None:
+        """Reject a request with a prompt part that has crashed targets."""
+        quarantine = self.crash_suspects.quarantine(request.shared_part_keys, now)
+        if quarantine is None:
+            return None
+        reason = f"{quarantine.crashes} targets crashed on part {quarantine.key.part} of the prompt"
+        return Refused(request, reason, quarantine.retry_after_s, "quarantined")
+
     def _uncached_by_id(self, size: RequestSize) -> dict[str, int]:
         """Return the number of tokens that each target would have to prefill, by target id."""
         if not size.prompt_tokens:
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..messages import PromptPart
+from .crash_suspects import PartKey
 
 __all__ = ["RequestSize", "WaitingRequest"]
 
@@ -42,6 +43,8 @@
     :ivar response_due_at: time by which the response, or its first event, is due according to the
         target latency of the route.
     :ivar deadline: time by which the caller must have its final response.
+    :ivar shared_part_keys: parts of its prompt that other requests may share.
+    :ivar is_trial: whether the request is sent although a part of its prompt is quarantined.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
     """
 
@@ -51,4 +54,6 @@
     arrived_at: float
     response_due_at: float
     deadline: float
+    shared_part_keys: tuple[PartKey, ...] = ()
+    is_trial: bool = False
     excluded_target_ids: set[str] = field(default_factory=set)
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -23,6 +23,7 @@
     "MemberTotal",
     "Message",
     "OrganisationUsage",
+    "PartCrashes",
     "PromptPart",
     "Report",
     "RouterInfo",
@@ -291,6 +292,23 @@
     parts: tuple[PromptPart, ...]
 
 
+class PartCrashes(_Part, frozen=True):
+    """What the sender knows of a prompt part that may crash targets.
+
+    :ivar crash_age_ms_by_lifetime: milliseconds since the crashes of targets under requests with
+        the part, by the target's lifetime; those observed by any router.
+    :ivar cleared_age_ms: milliseconds since a response to a request with the part last began at the
+        sender; None if there was none.
+    :ivar trial_age_ms: milliseconds since the sender last tried the part; None if it has not.
+    """
+
+    pool: str
+    part: str
+    crash_age_ms_by_lifetime: dict[str, int] = {}
+    cleared_age_ms: int | None = None
+    trial_age_ms: int | None = None
+
+
 class LoadMessage(_Message, frozen=True):
     """Load and usage by the requests of one router; each message replaces the previous one.
 
@@ -300,6 +318,7 @@
     :ivar all_prompt_tokens: decaying sum of the tokens of all prompts.
     :ivar sent_parts: prompt parts sent to targets since the previous message; they are not repeated
         if the message is lost.
+    :ivar part_crashes: prompt parts that may crash targets.
     """
 
     sender: str
@@ -311,6 +330,7 @@
     long_prompt_tokens: float = 0.0
     all_prompt_tokens: float = 0.0
     sent_parts: tuple[SentParts, ...] = ()
+    part_crashes: tuple[PartCrashes, ...] = ()
 
 
 class ChangedRow(_Part, frozen=True):
--- a/packages/parsleyrudder/parsleyrudder/outcomes.py
+++ b/packages/parsleyrudder/parsleyrudder/outcomes.py
@@ -60,6 +60,7 @@
     FailureKind("queue_timeout", 503, _NOT_RUN, "repeat after the time in Retry-After"),
     FailureKind("deadline_unreachable", 503, _NOT_RUN, "repeat later or allow more time"),
     FailureKind("no_server", 503, _NOT_RUN, "repeat after the time in Retry-After"),
+    FailureKind("quarantined", 503, _NOT_RUN, "send the prompt without the part that is named"),
     FailureKind("cut_off", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("draining", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("not_ready", 503, _NOT_RUN, "use another router"),
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from parsleyrudder import Decision, Failure, Organisation, Route, WaitingRequest, failure
+from parsleyrudder import Decision, Failure, Organisation, PartKey, Route, WaitingRequest, failure
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.logs import log_event
 
@@ -73,6 +73,7 @@
             refusal = failure("overloaded", "too many requests for this router", retry_after_s)
             self._refuse(exchange, refusal, request)
             return
+        pool = self.pools.get(route.select_pool(self._rng.random()))
         at = now()
         timeout_s = route.timeout_s
         elapsed_s = 0.0
@@ -90,8 +91,10 @@
             arrived_at=at,
             response_due_at=at + route.target_latency_s - elapsed_s,
             deadline=at + timeout_s,
+            shared_part_keys=tuple(
+                PartKey(pool.name, part.id) for part in request.size.shared_parts
+            ),
         )
-        pool = self.pools.get(route.select_pool(self._rng.random()))
         call = RelayCall(
             self._context,
             self.pools,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -24,6 +24,7 @@
     TrafficConfig,
     ViewRules,
     failure,
+    rendezvous,
 )
 from parsleyrudder_adapters.http_client import HttpClient
 from parsleyrudder_adapters.http_server import CallerExchange, HttpServer
@@ -128,6 +129,7 @@
                 _KEY_AGE_FRACTION * bounds.revoke_s, _DENIAL_AGE_FRACTION * bounds.apply_s
             ),
         )
+        self.context.crash_suspects.trial_rank = self._trial_rank
         poller.on_turn = self.context.load_shedder.record_turn
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.response_timeout_s)
@@ -192,6 +194,12 @@
             return failure("not_ready", "no configuration has been read yet", 0.3)
         return None
 
+    def _trial_rank(self, part: str) -> int:
+        """Return the position of this router in the order in which routers may try a part."""
+        view = self.context.view
+        routers = {view.own_info.name, *view.active_routers(now())}
+        return rendezvous(part, routers).index(view.own_info.name)
+
     @handler("started", channel="*")
     def _on_started(self, component: object) -> None:
         signal.signal(signal.SIGTERM, lambda *args: self.fire(_StopRequested(), "app"))
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
@@ -5,6 +5,7 @@
 
 from parsleyrudder import (
     ActiveTrafficConfig,
+    CrashSuspects,
     FleetView,
     LoadShedder,
     LongPromptTargets,
@@ -46,6 +47,7 @@
     usage: UsageLedger = field(default_factory=UsageLedger)
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
     long_prompt_targets: LongPromptTargets = field(default_factory=LongPromptTargets)
+    crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
     load_shedder: LoadShedder = field(default_factory=LoadShedder)
     metrics: Metrics = field(default_factory=Metrics)
     is_stopping: bool = False
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -21,6 +21,7 @@
 from parsleyrudder_adapters.timers import Timer
 
 from .context import RelayContext, now
+from .crash_reports import CrashReports
 
 __all__ = ["PeersTask"]
 
@@ -69,6 +70,7 @@
         self._is_registered = False
         self._row_first_seen_at: dict[tuple[str, int], float] = {}
         self._read_timer: Timer | None = None
+        self._crash_reports = CrashReports(context)
         self.link: PeerLink | None = None
         self.accepts_requests = False
 
@@ -169,6 +171,7 @@
         self._context.long_prompt_targets.record_report(message.sender, volume, at)
         for entry in message.sent_parts:
             self._context.prompt_cache.record_reported(entry.lifetime, entry.parts)
+        self._crash_reports.receive(message.part_crashes, at)
         self._context.usage.record_report(message.sender, message.usage_by_organisation, at)
 
     def _gossip(self) -> None:
@@ -228,6 +231,7 @@
             long_prompt_tokens=volume.long_prompt_tokens,
             all_prompt_tokens=volume.all_prompt_tokens,
             sent_parts=tuple(SentParts(lifetime, parts) for lifetime, parts in unreported),
+            part_crashes=self._crash_reports.prepare(at),
         )
         self._send_to_all(message)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -84,7 +84,9 @@
             self._update_targets(pool)
         targets = self._context.targets.by_id
         self._context.loads.retain(set(targets))
-        self._context.prompt_cache.retain({target.lifetime for target in targets.values()})
+        lifetimes = {target.lifetime for target in targets.values()}
+        self._context.prompt_cache.retain(lifetimes)
+        self._context.crash_suspects.retain(lifetimes)
         self._update_capacity()
         self.poll()
 
@@ -129,6 +131,7 @@
             context.usage,
             context.prompt_cache,
             context.long_prompt_targets,
+            crash_suspects=context.crash_suspects,
             ejected_targets=health.ejected_servers,
             failure_domain=domain,
         )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -76,6 +76,8 @@
         self._failed_response: BufferedResponse | None = None
         self._silence_timer: Timer | None = None
         self._has_response_started = False
+        # Whether an event or a whole response of the current attempt has been received.
+        self._has_answered_prompt = False
         self._is_finished = False
         # Whether the retry budget for the next retry has already been taken.
         self._has_reserved_retry = False
@@ -114,7 +116,7 @@
         if self._failed_response is not None:
             self._send_response(self._failed_response, "passed_on")
             return
-        reason = failure("no_server", refused.reason, refused.retry_after_s)
+        reason = failure(refused.code, refused.reason, refused.retry_after_s)
         if self._relayed_request.may_have_run:
             reason = self._relayed_request.final_failure(refused.reason, refused.retry_after_s)
         self._fail(reason)
@@ -123,6 +125,9 @@
         target = placed.target
         self._relayed_request.on_send_started(target.id)
         self.pool.health.record_call_start(target.id)
+        self.context.crash_suspects.record_sent(
+            target.lifetime, self.id, self.waiting_request.shared_part_keys, now()
+        )
         self._trace.record_placed(placed, now())
         remaining_s = self._relayed_request.deadline - now()
         attempt_info = AttemptInfo(
@@ -140,7 +145,7 @@
                 self._request.id, status, headers
             ),
         )
-        self._has_response_started = False
+        self._has_response_started = self._has_answered_prompt = False
         self._event_filter.begin_attempt()
         attempt = self._attempt = Attempt(self, self.context.dialect, target)
         attempt.exchange = self.context.client.send(target.address, request, attempt)
@@ -149,7 +154,8 @@
     def _may_send(self, target: Target) -> bool:
         """Whether the request may still be sent to a target; checked just before it is sent.
 
-        The target must be unchanged, and the caller still waiting before its deadline.
+        The target must be unchanged, the caller still waiting before its deadline, and no part of
+        the prompt quarantined meanwhile.
         """
         current = self.context.targets.by_id.get(target.id)
         return (
@@ -159,8 +165,13 @@
             and current.started_ms == target.started_ms
             and now() < self._relayed_request.deadline
             and not self._exchange.is_gone()
+            and (self.waiting_request.is_trial or not self._is_quarantined())
         )
 
+    def _is_quarantined(self) -> bool:
+        keys = self.waiting_request.shared_part_keys
+        return self.context.crash_suspects.quarantine(keys, now()) is not None
+
     def on_attempt_head(self, head: ResponseHead) -> None:
         """See :class:`AttemptOwner`."""
         self._trace.record_activity(now())
@@ -187,6 +198,7 @@
         if events and isinstance(self._response, StreamedResponse):
             if not self._has_response_started:
                 self._record_response_start()
+                self._record_sound_prompt()
             self._relayed_request.head_relayed = True
             self._response.write(events, self.context.timers)
         if self._event_filter.error:
@@ -196,6 +208,7 @@
         """See :class:`AttemptOwner`."""
         response = self._response
         if isinstance(response, BufferedResponse):
+            self._record_sound_prompt()
             if self._relayed_request.head_relayed:
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
             elif response.head.status >= 500 and self._relayed_request.route.is_idempotent:
@@ -220,7 +233,8 @@
             self._relayed_request.on_bytes_sent()
         # A send that was withheld, such as after the caller left, says nothing about the target.
         is_withheld = end is SendEnd.NOT_SENT and not self._may_send(attempt.target)
-        self._end_attempt(None if is_withheld or end is SendEnd.REFUSED else True)
+        failed = None if is_withheld or end is SendEnd.REFUSED else True
+        self._end_attempt(failed, is_broken=end is SendEnd.BROKEN)
         log_event(
             _LOGGER,
             "send_failed",
@@ -228,14 +242,14 @@
             target=attempt.target.id,
             lifetime=attempt.target.lifetime,
             end=end,
-            responding=self._has_response_started,
+            responding=self._has_answered_prompt,
             parts=",".join(part.id for part in self.waiting_request.size.parts) or None,
             organisation=self.waiting_request.organisation or None,
             sent_count=self._relayed_request.sent_count,
             reason=reason,
         )
         self.context.metrics.count("sends_failed", end=end, pool=self.pool.name)
-        if end is SendEnd.BROKEN and not self._has_response_started:
+        if end is SendEnd.BROKEN and not self._has_answered_prompt:
             self.context.metrics.count("broken_before_response", pool=self.pool.name)
         if end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
             self.pool.admission.refund(self.waiting_request, now())
@@ -278,7 +292,17 @@
         self.context.metrics.observe("first_byte", self.pool.name, waited_s)
         self._pools.ensure_polling()
 
-    def _end_attempt(self, failed: bool | None) -> None:
+    def _record_sound_prompt(self) -> None:
+        """Record that a target has responded to the prompt without crashing.
+
+        An event of a stream or a whole response shows this, but not the head alone.
+        """
+        self._has_answered_prompt = True
+        if self._attempt is not None:
+            lifetime = self._attempt.target.lifetime
+            self.context.crash_suspects.record_response(lifetime, self.id, now())
+
+    def _end_attempt(self, failed: bool | None, is_broken: bool = False) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
@@ -287,6 +311,7 @@
         if self._relayed_request.sent_count <= 1 and attempt.is_sent:
             self.pool.retry_budget.on_request(now())
         self.context.loads.record_end(attempt.target.id, self.id)
+        self.context.crash_suspects.record_end(attempt.target.lifetime, self.id, is_broken, now())
         self._pools.record_attempt_end(self.pool, attempt.target, failed)
         self._pools.ensure_polling()
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
@@ -5,6 +5,7 @@
 
 import pytest
 from parsleyrudder import (
+    CrashSuspects,
     FleetRetryBudget,
     FleetRetryLimits,
     Placed,
@@ -69,6 +70,7 @@
         client=client,
         targets=targets,
         loads=TargetLoads(),
+        crash_suspects=CrashSuspects(),
         metrics=Metrics(),
         router_count=lambda: 1,
         timers=SimpleNamespace(after=lambda delay_s, callback: timer),
