Read, log and export the rate limits that targets state

The head of each response and refusal is decoded now; a changed limit is logged (target_limit_changed), the limits stand in the state line and their number in rudder_targets_limited. No decision uses the limits yet; TargetRateLimits keeps and divides them.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -10,6 +10,7 @@
 from .long_prompts import LongPromptTargets, PromptVolume
 from .pool_admission import AdmissionRules, Decision, Placed, PoolAdmission, Refused
 from .prompt_cache import PromptCacheIndex, TargetPromptCache
+from .rate_limits import TargetRateLimits
 from .requests import RequestSize, WaitingRequest
 from .usage import UsageLedger
 
@@ -31,6 +32,7 @@
     "SheddingRules",
     "TargetLoads",
     "TargetPromptCache",
+    "TargetRateLimits",
     "UsageLedger",
     "WaitingRequest",
 ]
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -30,6 +30,7 @@
     "RouterState",
     "SentParts",
     "TableNews",
+    "TargetLimit",
     "decode_message",
     "encode_message",
 ]
@@ -309,6 +310,20 @@
     trial_age_ms: int | None = None
 
 
+class TargetLimit(_Part, frozen=True):
+    """Request rate that a target has stated in a response to the sender.
+
+    :ivar lifetime: lifetime of the target; see :attr:`Target.lifetime`.
+    :ivar requests_per_s: requests per second that it accepts from all routers together; None if
+        the response stated no limit.
+    :ivar age_ms: milliseconds since the response.
+    """
+
+    lifetime: str
+    requests_per_s: float | None
+    age_ms: int
+
+
 class LoadMessage(_Message, frozen=True):
     """Load and usage by the requests of one router; each message replaces the previous one.
 
@@ -319,6 +334,7 @@
     :ivar sent_parts: prompt parts sent to targets since the previous message; they are not repeated
         if the message is lost.
     :ivar part_crashes: prompt parts that may crash targets.
+    :ivar target_limits: rate limits that targets have stated recently.
     """
 
     sender: str
@@ -331,6 +347,7 @@
     all_prompt_tokens: float = 0.0
     sent_parts: tuple[SentParts, ...] = ()
     part_crashes: tuple[PartCrashes, ...] = ()
+    target_limits: tuple[TargetLimit, ...] = ()
 
 
 class ChangedRow(_Part, frozen=True):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
@@ -12,6 +12,7 @@
     PromptCacheIndex,
     TargetDirectory,
     TargetLoads,
+    TargetRateLimits,
     UsageLedger,
 )
 from parsleyrudder_adapters.http_client import HttpClient
@@ -48,6 +49,7 @@
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
     long_prompt_targets: LongPromptTargets = field(default_factory=LongPromptTargets)
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
+    rate_limits: TargetRateLimits = field(default_factory=TargetRateLimits)
     load_shedder: LoadShedder = field(default_factory=LoadShedder)
     metrics: Metrics = field(default_factory=Metrics)
     is_stopping: bool = False
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -52,12 +52,15 @@
     :ivar is_not_run: whether the target states that it has not run the request.
     :ivar is_event_stream: whether the body is a stream of events.
     :ivar headers: headers to relay to the caller.
+    :ivar rate_limit_per_s: requests per second that the target accepts from all routers together;
+        None if it states no limit.
     """
 
     status: int
     is_not_run: bool
     is_event_stream: bool
     headers: list[tuple[str, str]]
+    rate_limit_per_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -87,6 +87,7 @@
         lifetimes = {target.lifetime for target in targets.values()}
         self._context.prompt_cache.retain(lifetimes)
         self._context.crash_suspects.retain(lifetimes)
+        self._context.rate_limits.retain(lifetimes)
         self._update_capacity()
         self.poll()
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -172,6 +172,14 @@
         keys = self.waiting_request.shared_part_keys
         return self.context.crash_suspects.quarantine(keys, now()) is not None
 
+    def on_rate_limit(self, target: Target, requests_per_s: float | None) -> None:
+        """See :class:`AttemptOwner`."""
+        limits = self.context.rate_limits
+        if limits.record_response(target.lifetime, requests_per_s, now()):
+            log_event(
+                _LOGGER, "target_limit_changed", lifetime=target.lifetime, per_s=requests_per_s
+            )
+
     def on_attempt_head(self, head: ResponseHead) -> None:
         """See :class:`AttemptOwner`."""
         self._trace.record_activity(now())
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
@@ -1,7 +1,9 @@
 """The state of one relay for operators: a periodic log line, and the metrics."""
 
 import logging
+from collections.abc import Iterable
 
+from parsleyrudder import Target, TargetRateLimits
 from parsleyrudder_adapters.http_server import HttpServer
 from parsleyrudder_adapters.logs import BoundedLogHandler, log_event
 from parsleyrudder_adapters.poller import LoopPoller
@@ -51,6 +53,7 @@
             accepted=self._server.accepted_count,
             target_connections=context.client.connection_count,
             turn_ms=round(1000 * self._poller.take_longest_turn_s(), 1),
+            limits=_limits_text(context.rate_limits, targets),
             running="/".join(str(loads.running(t.id)) for t in targets),
             unread="/".join(str(loads.pending_prefill_tokens(t.id)) for t in targets),
             tokens_per_s="/".join(str(round(loads.prefill_tokens_per_s(t.id))) for t in targets),
@@ -67,6 +70,7 @@
         metrics.set_gauge("loop_turn_max_seconds", self._poller.longest_recent_turn_s)
         metrics.set_gauge("routers", len(context.view.live_routers(at)))
         metrics.set_gauge("targets", len(context.targets.by_id))
+        metrics.set_gauge("targets_limited", context.rate_limits.limited_count())
         metrics.set_gauge(
             "config_age_seconds", min(context.active_config.age_s(at), _MAX_REPORTED_AGE_S)
         )
@@ -76,3 +80,11 @@
             if isinstance(handler, BoundedLogHandler):
                 metrics.set_gauge("log_lines_dropped", handler.dropped)
         return metrics.text()
+
+
+def _limits_text(limits: TargetRateLimits, targets: Iterable[Target]) -> str | None:
+    """Return the rate limits in the order of the targets, or None if no target has one."""
+    if not limits.limited_count():
+        return None
+    rates = [limits.limit_per_s(target.lifetime) for target in targets]
+    return "/".join("" if rate is None else f"{rate:g}" for rate in rates)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
@@ -15,6 +15,9 @@
         self.received_bytes = 0
         self.ends = []
 
+    def on_rate_limit(self, target, requests_per_s):
+        self.rate_limit_per_s = requests_per_s
+
     def on_attempt_head(self, head):
         pass
 
@@ -33,7 +36,7 @@
     """Guards against a caller that waits until its deadline although the target has refused."""
     cancelled = []
     owner: Any = Owner()
-    head = SimpleNamespace(status=503, is_not_run=is_not_run)
+    head = SimpleNamespace(status=503, is_not_run=is_not_run, rate_limit_per_s=None)
     dialect: Any = SimpleNamespace(decode_response=lambda status, headers: head)
     target: Any = SimpleNamespace(id="t")
     attempt = Attempt(owner, dialect, target)
