Keep the request rates that targets state

Cause: no router read the header, so requests went by slots and prefill time alone. Class: back pressure from a target that is not honoured.

The newest statement holds and is passed on with the load reports, so that a limit also ends everywhere with the first response that does not state it. Targets at their limit are left out of the placing, and Retry-After includes the time until the next request may be sent. Weighed: counting all routers' sends in the reports, which overshoots by what 59 routers send within one report.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -16,6 +16,7 @@
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets
 from .prompt_cache import PromptCacheIndex
+from .rate_limits import TargetRateLimits
 from .requests import RequestSize, WaitingRequest
 from .usage import UsageLedger
 
@@ -126,6 +127,7 @@
     long_prompt_targets: LongPromptTargets
     ejected_targets: Callable[[float], set[str]] = lambda now: set()
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
+    rate_limits: TargetRateLimits = field(default_factory=TargetRateLimits)
     failure_domain: str = ""
     targets: list[Target] = field(default_factory=list)
     _waiting_by_id: dict[str, WaitingRequest] = field(default_factory=dict)
@@ -182,7 +184,7 @@
                 decision = self._decide(request, now)
                 attempts += decision is None
             elif now >= request.response_due_at:
-                decision = self._refuse(request, _NOT_IN_TIME)
+                decision = self._refuse(request, _NOT_IN_TIME, now)
             if decision is not None:
                 del self._waiting_by_id[request.id]
                 decisions.append(decision)
@@ -193,22 +195,29 @@
         request, target = placed.request, placed.target
         self.loads.record_sent(target.id, request.id, placed.uncached_tokens, now)
         self.prompt_cache.record_sent(target.lifetime, request.size)
+        self.rate_limits.take(target.lifetime, now)
         self.usage.record_usage(request.organisation, request.size.cost, now)
 
     def refund(self, request: WaitingRequest, now: float) -> None:
         """Refund the cost of a request that its target has not run."""
         self.usage.record_usage(request.organisation, -request.size.cost, now)
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, now: float) -> float:
         """Return the time after which a new request can be expected to be placed."""
         if not self.targets:
             return 1.0
-        wait_s = min(self.loads.prefill_wait_s(target.id) for target in self.targets)
-        return min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, 2 * wait_s))
+        wait_s = min(
+            max(
+                2 * self.loads.prefill_wait_s(target.id),
+                self.rate_limits.wait_s(target.lifetime, now),
+            )
+            for target in self.targets
+        )
+        return min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
 
     def _decide(self, request: WaitingRequest, now: float) -> Decision | None:
         if now >= request.deadline:
-            return self._refuse(request, "the deadline has passed")
+            return self._refuse(request, "the deadline has passed", now)
         rejected = self._reject_quarantined(request, now)
         if rejected is not None:
             return rejected
@@ -220,7 +229,7 @@
             request.is_trial = self.crash_suspects.record_trial(request.shared_part_keys, now)
             return placed
         if now >= self._queue_until(request, uncached_by_id):
-            return self._refuse(request, _NOT_IN_TIME)
+            return self._refuse(request, _NOT_IN_TIME, now)
         return None
 
     def _reject_quarantined(self, request: WaitingRequest, now: float) -> Refused | None:
@@ -268,8 +277,8 @@
             self.usage.share_ratio(request.organisation),
         )
 
-    def _refuse(self, request: WaitingRequest, reason: str) -> Refused:
-        return Refused(request, reason, self.retry_after_s())
+    def _refuse(self, request: WaitingRequest, reason: str, now: float) -> Refused:
+        return Refused(request, reason, self.retry_after_s(now))
 
     def _select_target(
         self, request: WaitingRequest, uncached_by_id: dict[str, int], now: float
@@ -277,13 +286,18 @@
         usable = self._usable_targets(request, now)
         slots_fraction, wait_factor = self._limits(request)
         running = self.loads.running_by_target
-        available = [t for t in usable if running.get(t.id, 0) < max(1.0, slots_fraction * t.slots)]
+        open_targets = self.rate_limits.without_limited(usable, now)
+        available = [
+            target
+            for target in open_targets
+            if running.get(target.id, 0) < max(1.0, slots_fraction * target.slots)
+        ]
         if not available:
             return None
         if not request.size.prompt_tokens:
             return min(available, key=self._service_key)
         long_prompt_ids = self.long_prompt_targets.select([target.id for target in usable], now)
-        min_uncached = min(uncached_by_id[target.id] for target in usable)
+        min_uncached = min(uncached_by_id[target.id] for target in open_targets)
         for target in self._candidates(request.size, available, uncached_by_id, long_prompt_ids):
             uncached = uncached_by_id[target.id]
             if (
--- a/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
@@ -11,6 +11,7 @@
 
 from ..membership import rendezvous
 from ..messages import TargetLimit
+from ..targets import Target
 
 __all__ = ["TargetRateLimits"]
 
@@ -21,7 +22,8 @@
 # limit keep such bursts small, and give most routers a part of a low limit.
 _EXTRA_HOLDERS = 4
 _REPORT_REPEAT_S = 1.0
-_MAX_TOKENS = 1.0
+# Time for which a holder of a high rate may save up its part, so that polling does not waste it.
+_BURST_S = 0.1
 
 
 @dataclass(slots=True)
@@ -44,9 +46,13 @@
     def refill(self, now: float) -> None:
         """Add the tokens of the time since the last call."""
         elapsed_s = max(0.0, now - self.refilled_at)
-        self.tokens = min(_MAX_TOKENS, self.tokens + elapsed_s * self.rate_per_s)
+        self.add(elapsed_s * self.rate_per_s)
         self.refilled_at = now
 
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to those of one request or of a short burst."""
+        self.tokens = min(max(1.0, _BURST_S * self.rate_per_s), self.tokens + tokens)
+
 
 @dataclass(slots=True)
 class TargetRateLimits:
@@ -111,11 +117,17 @@
         if limit is None or limit.requests_per_s is None:
             return 0.0
         limit.refill(now)
-        if limit.tokens >= _MAX_TOKENS:
+        if limit.tokens >= 1.0:
             return 0.0
         if limit.rate_per_s <= 0.0:
             return math.inf
-        return (_MAX_TOKENS - limit.tokens) / limit.rate_per_s
+        return (1.0 - limit.tokens) / limit.rate_per_s
+
+    def without_limited(self, targets: list[Target], now: float) -> list[Target]:
+        """Return the targets to which this router may send a request now."""
+        if not self._limit_by_lifetime:
+            return targets
+        return [target for target in targets if self.wait_s(target.lifetime, now) <= 0.0]
 
     def take(self, lifetime: str, now: float) -> None:
         """Count a request that is sent to a target."""
@@ -152,7 +164,7 @@
         limit = self._limit_by_lifetime.get(lifetime)
         if limit is not None and limit.requests_per_s is not None:
             limit.refill(now)
-            limit.tokens = min(_MAX_TOKENS, limit.tokens + tokens)
+            limit.add(tokens)
 
     def _set_part(self, lifetime: str, limit: _Limit, now: float) -> None:
         """Compute this router's part of a limit from the routers and the limit."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -172,6 +172,15 @@
         for entry in message.sent_parts:
             self._context.prompt_cache.record_reported(entry.lifetime, entry.parts)
         self._crash_reports.receive(message.part_crashes, at)
+        for limit in message.target_limits:
+            if self._context.rate_limits.record_report(limit, at):
+                log_event(
+                    _LOGGER,
+                    "target_limit_reported",
+                    lifetime=limit.lifetime,
+                    per_s=limit.requests_per_s,
+                    reported_by=message.sender,
+                )
         self._context.usage.record_report(message.sender, message.usage_by_organisation, at)
 
     def _gossip(self) -> None:
@@ -211,8 +220,10 @@
         """
         interval_s = max(_MIN_REFRESH_INTERVAL_S, _REFRESH_FRACTION * self._report_interval_s())
         self._context.timers.after(interval_s, self._refresh)
-        self._context.usage.refresh(now())
-        self._context.long_prompt_targets.refresh(now())
+        view, at = self._context.view, now()
+        self._context.usage.refresh(at)
+        self._context.long_prompt_targets.refresh(at)
+        self._context.rate_limits.set_routers(view.own_info.name, view.active_routers(at), at)
 
     def _send_report(self) -> None:
         at = now()
@@ -232,6 +243,7 @@
             all_prompt_tokens=volume.all_prompt_tokens,
             sent_parts=tuple(SentParts(lifetime, parts) for lifetime, parts in unreported),
             part_crashes=self._crash_reports.prepare(at),
+            target_limits=self._context.rate_limits.report(at),
         )
         self._send_to_all(message)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -133,6 +133,7 @@
             context.prompt_cache,
             context.long_prompt_targets,
             crash_suspects=context.crash_suspects,
+            rate_limits=context.rate_limits,
             ejected_targets=health.ejected_servers,
             failure_domain=domain,
         )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -106,6 +106,7 @@
             if self._exchange.is_gone():
                 self.context.loads.record_end(decision.target.id, self.id)
                 self.pool.admission.refund(self.waiting_request, now())
+                self.context.rate_limits.refund(decision.target.lifetime, now())
                 self._finish("caller_left")
             else:
                 self._send(decision)
@@ -261,6 +262,8 @@
             self.context.metrics.count("broken_before_response", pool=self.pool.name)
         if end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
             self.pool.admission.refund(self.waiting_request, now())
+        if end is SendEnd.NOT_SENT:
+            self.context.rate_limits.refund(attempt.target.lifetime, now())
         if is_withheld and self._exchange.is_gone():
             self._finish("caller_left")
             return
@@ -272,7 +275,7 @@
         else:
             text = f"the send to {attempt.target.id} ended {end}"
             self._fail(
-                self._relayed_request.final_failure(text, self.pool.admission.retry_after_s())
+                self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
             )
 
     def _claim_retry(self) -> bool:
@@ -368,7 +371,7 @@
         if self._failed_response is not None and not self._relayed_request.head_relayed:
             self._send_response(self._failed_response, "passed_on")
             return
-        retry_after_s = self.pool.admission.retry_after_s()
+        retry_after_s = self.pool.admission.retry_after_s(now())
         self._fail(self._relayed_request.deadline_failure(in_flight, retry_after_s))
 
     def _on_caller_left(self) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
@@ -15,6 +15,7 @@
     Target,
     TargetDirectory,
     TargetLoads,
+    TargetRateLimits,
     WaitingRequest,
 )
 from parsleyrudder_daemon.metrics import Metrics
@@ -71,6 +72,7 @@
         targets=targets,
         loads=TargetLoads(),
         crash_suspects=CrashSuspects(),
+        rate_limits=TargetRateLimits(),
         metrics=Metrics(),
         router_count=lambda: 1,
         timers=SimpleNamespace(after=lambda delay_s, callback: timer),
@@ -85,7 +87,7 @@
         resubmit=lambda request, at: None,
         refund=lambda request, at: None,
         withdraw=lambda id: None,
-        retry_after_s=lambda: 1.0,
+        retry_after_s=lambda at: 1.0,
     )
     pool: Any = SimpleNamespace(
         name="p",
