Split the decisions of admission and the silence limit into modules

Placed, Refused and Decision move to admission/decisions, the time after which a silent target is given up to relay/silence. No behaviour changes.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -5,10 +5,11 @@
 """
 
 from .crash_suspects import CrashRules, CrashSuspects, PartKey, Quarantine
+from .decisions import Decision, Placed, Refused
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets, PromptVolume
-from .pool_admission import AdmissionRules, Decision, Placed, PoolAdmission, Refused
+from .pool_admission import AdmissionRules, PoolAdmission
 from .prompt_cache import PromptCacheIndex, TargetPromptCache
 from .rate_limits import TargetRateLimits
 from .requests import RequestSize, WaitingRequest
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -13,6 +13,7 @@
 from ..membership import rendezvous
 from ..targets import Target
 from .crash_suspects import CrashSuspects
+from .decisions import Decision, Placed, Refused
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets
 from .prompt_cache import PromptCacheIndex
@@ -20,7 +21,7 @@
 from .requests import RequestSize, WaitingRequest
 from .usage import UsageLedger
 
-__all__ = ["AdmissionRules", "Decision", "Placed", "PoolAdmission", "Refused"]
+__all__ = ["AdmissionRules", "PoolAdmission"]
 
 _NOT_IN_TIME = "no target can begin the request in time"
 # Bounds the targets evaluated in one poll, summed over all requests that the poll tries to place.
@@ -78,40 +79,6 @@
     excess_wait_factor: float = 0.25
 
 
-@dataclass(slots=True, frozen=True)
-class Placed:
-    """Decision to send a request to a target now.
-
-    :ivar expected_start_s: expected time until the response begins.
-    :ivar uncached_tokens: number of prompt tokens that the target has to prefill.
-    :ivar share_ratio: usage of the organisation as a multiple of its fair share; see
-        :meth:`UsageLedger.share_ratio`.
-    """
-
-    request: WaitingRequest
-    target: Target
-    expected_start_s: float = 0.0
-    uncached_tokens: int = 0
-    share_ratio: float = 0.0
-
-
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """Decision not to send a request to any target.
-
-    :ivar retry_after_s: time after which a new request can be expected to be placed.
-    :ivar code: error code; see :func:`parsleyrudder.failure`.
-    """
-
-    request: WaitingRequest
-    reason: str
-    retry_after_s: float
-    code: str = "no_server"
-
-
-Decision = Placed | Refused
-
-
 @dataclass(slots=True)
 class PoolAdmission:
     """Admission of the requests to one pool at one router.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -11,7 +11,6 @@
     Refused,
     RelayedRequest,
     Route,
-    RouteKind,
     SendEnd,
     Target,
     WaitingRequest,
@@ -27,16 +26,12 @@
 from .dialect import AttemptInfo, DecodedRequest, ResponseHead
 from .pools import Pool, Pools
 from .response import BufferedResponse, StreamedResponse
+from .silence import silence_limit_s
 from .trace import RequestTrace
 
 __all__ = ["RelayCall"]
 
 _LOGGER = logging.getLogger(__name__)
-# An idempotent request is retried at another target if nothing is received from its target for this
-# multiple of the target latency, within the bounds below.
-_SILENCE_LATENCY_FACTOR = 2.5
-_MIN_SILENCE_S = 0.4
-_MAX_SILENCE_S = 1.8
 # Interval at which a request at a silent target tries to take retry budget.
 _BUDGET_RETRY_INTERVAL_S = 0.2
 # A response that is not a stream is buffered in memory before it is relayed.
@@ -335,10 +330,7 @@
     def _check_silence(self) -> None:
         if not self._relayed_request.route.is_idempotent:
             return
-        limit_s = _SILENCE_LATENCY_FACTOR * self._relayed_request.route.target_latency_s
-        limit_s = min(_MAX_SILENCE_S, max(_MIN_SILENCE_S, limit_s))
-        if self._relayed_request.route.kind is RouteKind.STREAM:
-            limit_s = _MAX_SILENCE_S
+        limit_s = silence_limit_s(self._relayed_request.route)
         remaining_s = self._trace.last_activity_at + limit_s - now()
         if remaining_s > 0:
             self._silence_timer = self.context.timers.after(remaining_s, self._on_silence_timer)
