Bound what is kept and reported of suspected prompt parts

A part of most prompts was among the suspects of every crash, and each of its crashes stayed in memory and in every report on it. Crashes before a clearing response or older than 6 hours are forgotten now, 64 are kept per part and 256 parts. test_reports_stay_small_however_many_targets_crash covers it; it was written together with the change.

--- a/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
@@ -20,7 +20,8 @@
 __all__ = ["CrashRules", "CrashSuspects", "PartKey", "Quarantine"]
 
 _MAX_CLEARED_PARTS = 4096
-_MAX_SUSPECTED_PARTS = 1024
+_MAX_SUSPECTED_PARTS = 256
+_MAX_CRASHES_PER_PART = 64
 
 
 class PartKey(NamedTuple):
@@ -49,6 +50,7 @@
     :ivar rank_delay_s: delay of a trial by the next router, in case the one before gets no request
         with the part; longer than a report takes.
     :ivar repeat_s: time for which a change is reported to other routers.
+    :ivar memory_s: time after which a crash no longer counts; longer than ``max_trial_s``.
     """
 
     confirm_s: float = 0.25
@@ -61,6 +63,7 @@
     max_trial_s: float = 3600.0
     rank_delay_s: float = 1.5
     repeat_s: float = 1.0
+    memory_s: float = 21600.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -131,9 +134,17 @@
 
     def crash_times(self) -> list[float]:
         """Return the times of the crashes since the part was last cleared, in order."""
-        cleared_at = self.cleared_at
-        times = sorted(self.crashed_at_by_lifetime.values())
-        return times if cleared_at is None else [at for at in times if at > cleared_at]
+        self.forget_until(self.cleared_at)
+        return sorted(self.crashed_at_by_lifetime.values())
+
+    def forget_until(self, at: float | None) -> None:
+        """Forget the crashes up to a time, and all but the newest ones."""
+        newest = sorted(self.crashed_at_by_lifetime.items(), key=lambda item: item[1])
+        self.crashed_at_by_lifetime = {
+            lifetime: crashed_at
+            for lifetime, crashed_at in newest[-_MAX_CRASHES_PER_PART:]
+            if at is None or crashed_at > at
+        }
 
 
 @dataclass(slots=True)
@@ -200,6 +211,7 @@
         due = [broken for broken in self._breaks if now - broken.at >= self.rules.confirm_s]
         if not due:
             return []
+        self._forget_old(now)
         self._breaks = [broken for broken in self._breaks if broken not in due]
         confirmed = []
         for broken in due:
@@ -298,6 +310,15 @@
         last_crash_at = max(suspicion.crashed_at_by_lifetime.values(), default=float("-inf"))
         return now - report.cleared_age_ms / 1000 < last_crash_at < suspicion.own_cleared_at
 
+    def _forget_old(self, now: float) -> None:
+        for suspicion in self._suspicion_by_key.values():
+            suspicion.forget_until(now - self.rules.memory_s)
+        self._suspicion_by_key = OrderedDict(
+            (key, suspicion)
+            for key, suspicion in self._suspicion_by_key.items()
+            if suspicion.crashed_at_by_lifetime or suspicion.cleared_at is not None
+        )
+
     def _suspicion(self, key: PartKey) -> _Suspicion:
         suspicion = self._suspicion_by_key.get(key)
         if suspicion is None:
@@ -327,6 +348,8 @@
         suspicion.own_cleared_at = now
 
     def _is_quarantined(self, key: PartKey, suspicion: _Suspicion, now: float) -> bool:
+        if not suspicion.crashed_at_by_lifetime:
+            return False
         times = suspicion.crash_times()
         if not times:
             return False
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_crash_suspects.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_crash_suspects.py
@@ -175,3 +175,31 @@
         fleet.crash(number % 2, f"t{number}/1")
         fleet.advance(3.0)
     assert fleet.rejecting() == []
+
+
+def test_reports_stay_small_however_many_targets_crash():
+    """A part of most prompts is among those of every crash."""
+    fleet = Fleet(routers=2)
+    for number in range(300):
+        fleet.crash(number % 2, f"t{number}/1", (COMMON,))
+        fleet.advance(0.3)
+        if number % 100 == 99:
+            fleet.respond(0, f"alive{number}/1", (COMMON,))
+    fleet.exchange()
+    assert fleet.rejecting((COMMON,)) == []
+    crashes = [
+        len(report.crash_age_ms_by_lifetime)
+        for router in fleet.routers
+        for report in router.report(fleet.now)
+    ]
+    assert max(crashes, default=0) <= 64
+
+
+def test_a_crash_of_days_ago_no_longer_counts():
+    fleet = Fleet()
+    fleet.crash(0, "t0/1")
+    fleet.advance(1.0)
+    fleet.advance(2 * RULES.memory_s)
+    fleet.crash(0, "t1/1")
+    fleet.advance(5.0)
+    assert fleet.rejecting() == []
