--- a/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
@@ -298,11 +298,13 @@
         if report.trial_age_ms is not None:
             trial_at = now - report.trial_age_ms / 1000
             suspicion.reported_trial_at = _latest(suspicion.reported_trial_at, trial_at)
-        if self._knows_better(suspicion, report, now):
+        if self._should_announce_clearance(suspicion, report, now):
             suspicion.report_until = now + self.rules.repeat_s
 
-    def _knows_better(self, suspicion: _Suspicion, report: PartCrashes, now: float) -> bool:
-        """Whether this router has cleared a part of which the reporting router does not know."""
+    def _should_announce_clearance(
+        self, suspicion: _Suspicion, report: PartCrashes, now: float
+    ) -> bool:
+        """Whether this router has cleared the part and the reporting router does not know it."""
         if suspicion.own_cleared_at is None:
             return False
         if report.cleared_age_ms is None:
