Divide the rate limits of targets by the routers' entitled demand

Cause: each limit was divided into equal parts, so what an organisation got followed the number of routers that its callers use.

Change: a router's part follows the demand at it, of each organisation up to its fair share (UsageLedger.entitled_by_router); a tenth is divided equally. Limits below the number of routers go to holders by weighted rendezvous hashing.

--- a/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
@@ -1,15 +1,18 @@
 """Request rates that targets accept from all routers together, divided between the routers.
 
-Designed for targets that ask for less while they are impaired. Their limits may be lower than the
-number of routers, so each limit is divided between a few routers only, its holders. Which routers
-these are follows from the view of the fleet by rendezvous hashing, without a message per request.
+Designed for targets that ask for less while they are impaired, and for organisations whose callers
+all connect to one router while those of others use all. Each limit is divided in proportion to the
+demand that the routers' callers are entitled to. Limits may be lower than the number of routers, so
+each is divided between a few of them only, its holders; which these are follows from the view of
+the fleet by weighted rendezvous hashing, without a message per request.
 """
 
+import functools
+import hashlib
 import math
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ..membership import rendezvous
 from ..messages import TargetLimit
 from ..targets import Target
 
@@ -22,6 +25,8 @@
 # limit keep such bursts small, and give most routers a part of a low limit.
 _EXTRA_HOLDERS = 4
 _REPORT_REPEAT_S = 1.0
+# Part of a limit that is divided equally, so that a router with new callers can begin at once.
+_EQUAL_FRACTION = 0.1
 # Time for which a holder of a high rate may save up its part, so that polling does not waste it.
 _BURST_S = 0.1
 
@@ -60,14 +65,15 @@
 
     _limit_by_lifetime: dict[str, _Limit] = field(default_factory=dict)
     _own_name: str = ""
-    _routers: tuple[str, ...] = ()
-
-    def set_routers(self, own_name: str, routers: Iterable[str], now: float) -> None:
-        """Set the routers that divide the limits; one that is leaving holds no part any more."""
-        names = tuple(sorted(routers))
-        if (own_name, names) == (self._own_name, self._routers):
-            return
-        self._own_name, self._routers = own_name, names
+    _weight_by_router: dict[str, float] = field(default_factory=dict)
+
+    def set_routers(self, own_name: str, demand_by_router: Mapping[str, float], now: float) -> None:
+        """Set the routers that divide the limits; one that is leaving holds no part any more.
+
+        :param demand_by_router: demand in any unit; see :meth:`UsageLedger.entitled_by_router`.
+        """
+        self._own_name = own_name
+        self._weight_by_router = _weights(demand_by_router)
         for lifetime, limit in self._limit_by_lifetime.items():
             self._set_part(lifetime, limit, now)
 
@@ -169,19 +175,64 @@
     def _set_part(self, lifetime: str, limit: _Limit, now: float) -> None:
         """Compute this router's part of a limit from the routers and the limit."""
         limit.refill(now)
-        limit.rate_per_s = 0.0
-        if limit.requests_per_s is not None:
-            holders = self._holders(lifetime, limit.requests_per_s)
-            if self._own_name in holders:
-                limit.rate_per_s = max(_MIN_RATE_PER_S, limit.requests_per_s) / len(holders)
+        fraction = self._own_fraction(lifetime, limit)
+        limit.rate_per_s = fraction * max(_MIN_RATE_PER_S, limit.requests_per_s or 0.0)
+        if not fraction:
+            limit.tokens = 0.0
 
     def _initial_tokens(self, lifetime: str, limit: _Limit) -> float:
         """Return tokens that differ between the holders, so that they do not all send at once."""
-        if limit.requests_per_s is None or limit.rate_per_s <= 0.0:
+        return _uniform(lifetime, self._own_name) if limit.rate_per_s > 0.0 else 0.0
+
+    def _own_fraction(self, lifetime: str, limit: _Limit) -> float:
+        """Return the fraction of a limit that this router holds."""
+        weights = self._weight_by_router or {self._own_name: 1.0}
+        if limit.requests_per_s is None or self._own_name not in weights:
             return 0.0
-        holders = self._holders(lifetime, limit.requests_per_s)
-        return (holders.index(self._own_name) + 0.5) / len(holders)
+        count = int(limit.requests_per_s) + _EXTRA_HOLDERS
+        if len(weights) <= count:
+            return weights[self._own_name]
+        # Weighted rendezvous hashing: C. Schindelhauer, G. Schomaker, SPAA 2005.
+        order = sorted(weights, key=lambda name: weights[name] / math.log(_uniform(lifetime, name)))
+        return _fraction(self._own_name, {name: weights[name] for name in order[:count]})
+
+
+def _fraction(name: str, weight_by_holder: Mapping[str, float]) -> float:
+    """Return the fraction of a limit for one router.
 
-    def _holders(self, lifetime: str, requests_per_s: float) -> list[str]:
-        count = int(requests_per_s) + _EXTRA_HOLDERS
-        return rendezvous(lifetime, self._routers or (self._own_name,))[:count]
+    A router that is nearly always a holder gets its weight. The others are holders as often as
+    their weights require, so they get equal parts of the rest.
+
+    >>> _fraction("a", {"a": 0.4, "b": 0.1, "c": 0.1}), _fraction("d", {"a": 0.4})
+    (0.4, 0.0)
+    """
+    if name not in weight_by_holder:
+        return 0.0
+    threshold = 1.0 / len(weight_by_holder)
+    large = [weight for weight in weight_by_holder.values() if weight >= threshold]
+    weight = weight_by_holder[name]
+    if weight >= threshold:
+        return weight
+    return (1.0 - sum(large)) / (len(weight_by_holder) - len(large))
+
+
+def _weights(demand_by_router: Mapping[str, float]) -> dict[str, float]:
+    """Return the relative parts of the routers, which add up to 1.
+
+    >>> _weights({"a": 0.0, "b": 0.0})
+    {'a': 0.5, 'b': 0.5}
+    """
+    total = sum(demand_by_router.values())
+    count = len(demand_by_router)
+    equal_fraction = _EQUAL_FRACTION if total > 0.0 else 1.0
+    return {
+        name: equal_fraction / count + (1.0 - equal_fraction) * demand / (total or 1.0)
+        for name, demand in demand_by_router.items()
+    }
+
+
+@functools.lru_cache(maxsize=8192)
+def _uniform(lifetime: str, router: str) -> float:
+    """Return a number between 0 and 1, both excluded, that all routers agree on."""
+    digest = hashlib.blake2b(f"{lifetime}\0{router}".encode(), digest_size=6).digest()
+    return (int.from_bytes(digest) + 0.5) / 2.0**48
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_rate_limits.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_rate_limits.py
@@ -14,11 +14,13 @@
 MIN_USED_FRACTION = 0.75
 
 
-def make_fleet(routers, now=0.0):
-    names = [f"r{number}" for number in range(routers)]
-    fleet = [TargetRateLimits() for _ in names]
-    for name, limits in zip(names, fleet):
-        limits.set_routers(name, names, now)
+def make_fleet(routers, demands=(), now=0.0):
+    """Return routers with the given demands; all others have none."""
+    demand_by_router = {f"r{number}": 0.0 for number in range(routers)}
+    demand_by_router.update({f"r{number}": demand for number, demand in enumerate(demands)})
+    fleet = [TargetRateLimits() for _ in demand_by_router]
+    for name, limits in zip(demand_by_router, fleet):
+        limits.set_routers(name, demand_by_router, now)
     return fleet
 
 
@@ -61,11 +63,11 @@
         limits.record_response(LIFETIME, 1.8, 0.0)
     times = sends(fleet, 0.0, 10.0)
     for name, limits in zip(names[1:], fleet[1:]):
-        limits.set_routers(name, names[1:], 10.0)
+        limits.set_routers(name, dict.fromkeys(names[1:], 1.0), 10.0)
     times += sends(fleet[1:], 10.0, 3.0)
     fleet[0] = TargetRateLimits()
     for name, limits in zip(names, fleet):
-        limits.set_routers(name, names, 13.0)
+        limits.set_routers(name, dict.fromkeys(names, 1.0), 13.0)
     fleet[0].record_response(LIFETIME, 1.8, 13.0)
     times += sends(fleet, 13.0, 10.0)
     assert largest_window(times) <= ALLOWED_FACTOR * 1.8 * WINDOW_S + ALLOWED_EXTRA
@@ -73,7 +75,7 @@
 
 def test_a_leaving_router_holds_no_part():
     limits = TargetRateLimits()
-    limits.set_routers("r0", ["r1"], 0.0)
+    limits.set_routers("r0", {"r1": 1.0}, 0.0)
     limits.record_response(LIFETIME, 5.0, 0.0)
     assert limits.wait_s(LIFETIME, 60.0) == math.inf
 
@@ -110,3 +112,37 @@
     limits.retain(set())
     assert limits.limited_count() == 0
     assert limits.wait_s(LIFETIME, 0.0) == 0.0
+
+
+@pytest.mark.parametrize("routers", [8, 59])
+def test_an_organisation_at_one_router_gets_its_part_of_a_limit(routers):
+    """Equal parts left it 0.15 of what another one got whose callers use all routers."""
+    targets = [f"t{number}/1" for number in range(20)]
+    fleet = make_fleet(routers, demands=[8.0, *[8.0 / (routers - 1)] * (routers - 1)])
+    sent = [0] * routers
+    for limits in fleet:
+        for target in targets:
+            limits.record_response(target, 3.0, 0.0)
+    for step in range(round(20.0 / STEP_S)):
+        now = step * STEP_S
+        for number, limits in enumerate(fleet):
+            for target in targets:
+                if limits.wait_s(target, now) <= 0.0:
+                    limits.take(target, now)
+                    sent[number] += 1
+    assert sent[0] == pytest.approx(sum(sent[1:]), rel=0.35)
+    assert sum(sent) >= MIN_USED_FRACTION * 3.0 * len(targets) * 20.0
+
+
+def test_changing_demand_does_not_exceed_the_limit():
+    """Demand moves to another router every second."""
+    fleet = make_fleet(30)
+    for limits in fleet:
+        limits.record_response(LIFETIME, 2.0, 0.0)
+    times = []
+    for second in range(60):
+        demand_by_router = {f"r{number}": float(number == second % 30) for number in range(30)}
+        for number, limits in enumerate(fleet):
+            limits.set_routers(f"r{number}", demand_by_router, float(second))
+        times += sends(fleet, float(second), 1.0)
+    assert largest_window(times) <= ALLOWED_FACTOR * 2.0 * WINDOW_S + ALLOWED_EXTRA
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_usage_and_loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_usage_and_loads.py
@@ -127,3 +127,16 @@
     for selection in selections:
         selection.record_report("router", PromptVolume(30, 100), 0.0)
     assert selections[0].select(ids, 0.0) == selections[1].select(ids[::-1], 0.0)
+
+
+def test_entitled_demand_counts_an_organisation_up_to_its_share():
+    """The large organisation is at both routers, the small one at one; usage is half of demand."""
+    ledger = UsageLedger()
+    ledger.record_demand("large", 300.0, 0.0)
+    ledger.record_demand("small", 100.0, 0.0)
+    ledger.record_usage("large", 100.0, 0.0)
+    ledger.record_usage("small", 100.0, 0.0)
+    ledger.record_report("other", {"large": OrganisationUsage(300.0, 200.0)}, 0.0)
+    ledger.refresh(0.0)
+    entitled = ledger.entitled_by_router("own")
+    assert entitled == pytest.approx({"own": 100.0 + 150.0, "other": 150.0})
--- a/packages/parsleyrudder/parsleyrudder/admission/usage.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/usage.py
@@ -98,6 +98,27 @@
         self._share_level = _max_min_level(demands, self.capacity_per_s * self.decay_s or usage)
         self._observed_share_level = _max_min_level(demands, usage)
 
+    def entitled_by_router(self, own_name: str) -> dict[str, float]:
+        """Return the demand at each router, of each organisation up to its fair share.
+
+        The share of an organisation of the observed usage is divided between the routers as its
+        demand is. Routers that have reported nothing lately are not included.
+        """
+        demand_by_router = {
+            router: {name: report.demand for name, report in usage_by_organisation.items()}
+            for router, (_, usage_by_organisation) in self._report_by_router.items()
+        }
+        demand_by_router[own_name] = {name: own.demand for name, own in self._local.items()}
+        return {
+            router: sum(self._entitled(name, demand) for name, demand in demands.items())
+            for router, demands in demand_by_router.items()
+        }
+
+    def _entitled(self, organisation: str, demand: float) -> float:
+        """Return the part of an organisation's fair share for a part of its demand."""
+        total = self._total(organisation).demand
+        return demand * min(1.0, self._observed_share_level / total) if total > 0.0 else 0.0
+
     def share_ratio(self, organisation: str) -> float:
         """Return the usage of an organisation divided by the largest max-min fair share.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -223,7 +223,9 @@
         view, at = self._context.view, now()
         self._context.usage.refresh(at)
         self._context.long_prompt_targets.refresh(at)
-        self._context.rate_limits.set_routers(view.own_info.name, view.active_routers(at), at)
+        entitled = self._context.usage.entitled_by_router(view.own_info.name)
+        demand_by_router = {name: entitled.get(name, 0.0) for name in view.active_routers(at)}
+        self._context.rate_limits.set_routers(view.own_info.name, demand_by_router, at)
 
     def _send_report(self) -> None:
         at = now()
