Pass on what a send teaches through one object

No change of behaviour: a request whose caller left before it was sent still counts for nothing but the refunds (on_withdrawn).

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
@@ -16,7 +16,7 @@
 class AttemptOwner(Protocol):
     """Receiver of the events of the current attempt."""
 
-    def on_rate_limit(self, target: Target, requests_per_s: float | None) -> None:
+    def on_rate_limit(self, requests_per_s: float | None) -> None:
         """Receive the rate limit in the head of a response or refusal, or None if it has none."""
         ...
 
@@ -77,7 +77,7 @@
     def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Handle the head of the response."""
         self.head = self._dialect.decode_response(status, headers)
-        self._owner.on_rate_limit(self.target, self.head.rate_limit_per_s)
+        self._owner.on_rate_limit(self.head.rate_limit_per_s)
         if not self.head.is_not_run and not self._is_finished:
             self._owner.on_attempt_head(self.head)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -13,11 +13,19 @@
     PoolAdmission,
     RoutingRules,
     ServerInfo,
-    Target,
 )
-from parsleyrudder_adapters.logs import log_event
 
 from .context import RelayContext, now
+from .send_listeners import (
+    CrashListener,
+    HealthListener,
+    LoadListener,
+    MetricsListener,
+    RateLimitListener,
+    RetryBudgetListener,
+    UsageListener,
+)
+from .sends import SendListener
 
 __all__ = ["Pool", "Pools"]
 
@@ -40,12 +48,14 @@
     """This router's state of one pool.
 
     :ivar health: tracks the failures of the targets and ejects them.
+    :ivar send_listeners: everything that learns from the sends to the targets.
     """
 
     name: str
     admission: PoolAdmission
     health: LoadBalancer
     retry_budget: FleetRetryBudget
+    send_listeners: tuple[SendListener, ...]
 
 
 class Pools:
@@ -105,15 +115,6 @@
             self._is_polling = True
             self._context.timers.after(_POLL_INTERVAL_S, self._on_poll_timer)
 
-    def record_attempt_end(self, pool: Pool, target: Target, failed: bool | None) -> None:
-        """Record the end of an attempt for the health of its target.
-
-        :param failed: whether the target caused a failure; None if the outcome says nothing about
-            the target.
-        """
-        if pool.health.record_call_end(target.id, failed, now()):
-            log_event(_LOGGER, "target_ejected", logging.WARNING, target=target.id)
-
     def _on_poll_timer(self) -> None:
         self._is_polling = False
         self.poll()
@@ -137,7 +138,17 @@
             ejected_targets=health.ejected_servers,
             failure_domain=domain,
         )
-        return Pool(name, admission, health, FleetRetryBudget(rules, now()))
+        retry_budget = FleetRetryBudget(rules, now())
+        send_listeners = (
+            LoadListener(context.loads),
+            CrashListener(context.crash_suspects),
+            RateLimitListener(context.rate_limits),
+            UsageListener(admission),
+            RetryBudgetListener(retry_budget),
+            HealthListener(health),
+            MetricsListener(context.metrics, name),
+        )
+        return Pool(name, admission, health, retry_budget, send_listeners)
 
     def _update_targets(self, pool: Pool) -> None:
         targets = self._context.targets.in_pool(pool.name)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -26,6 +26,7 @@
 from .dialect import AttemptInfo, DecodedRequest, ResponseHead
 from .pools import Pool, Pools
 from .response import BufferedResponse, StreamedResponse
+from .sends import SendResult, Sends
 from .silence import silence_limit_s
 from .trace import RequestTrace
 
@@ -70,9 +71,7 @@
         self._response: BufferedResponse | StreamedResponse | None = None
         self._failed_response: BufferedResponse | None = None
         self._silence_timer: Timer | None = None
-        self._has_response_started = False
-        # Whether an event or a whole response of the current attempt has been received.
-        self._has_answered_prompt = False
+        self._sends = Sends(waiting_request, pool.send_listeners)
         self._is_finished = False
         # Whether the retry budget for the next retry has already been taken.
         self._has_reserved_retry = False
@@ -99,9 +98,7 @@
             self._pools.ensure_polling()
         elif isinstance(decision, Placed):
             if self._exchange.is_gone():
-                self.context.loads.record_end(decision.target.id, self.id)
-                self.pool.admission.refund(self.waiting_request, now())
-                self.context.rate_limits.refund(decision.target.lifetime, now())
+                self._sends.withdraw(decision.target, now())
                 self._finish("caller_left")
             else:
                 self._send(decision)
@@ -120,10 +117,7 @@
     def _send(self, placed: Placed) -> None:
         target = placed.target
         self._relayed_request.on_send_started(target.id)
-        self.pool.health.record_call_start(target.id)
-        self.context.crash_suspects.record_sent(
-            target.lifetime, self.id, self.waiting_request.shared_part_keys, now()
-        )
+        self._sends.begin(target, now())
         self._trace.record_placed(placed, now())
         remaining_s = self._relayed_request.deadline - now()
         attempt_info = AttemptInfo(
@@ -141,7 +135,6 @@
                 self._request.id, status, headers
             ),
         )
-        self._has_response_started = self._has_answered_prompt = False
         self._event_filter.begin_attempt()
         attempt = self._attempt = Attempt(self, self.context.dialect, target)
         attempt.exchange = self.context.client.send(target.address, request, attempt)
@@ -168,13 +161,9 @@
         keys = self.waiting_request.shared_part_keys
         return self.context.crash_suspects.quarantine(keys, now()) is not None
 
-    def on_rate_limit(self, target: Target, requests_per_s: float | None) -> None:
+    def on_rate_limit(self, requests_per_s: float | None) -> None:
         """See :class:`AttemptOwner`."""
-        limits = self.context.rate_limits
-        if limits.record_response(target.lifetime, requests_per_s, now()):
-            log_event(
-                _LOGGER, "target_limit_changed", lifetime=target.lifetime, per_s=requests_per_s
-            )
+        self._sends.limit_stated(requests_per_s, now())
 
     def on_attempt_head(self, head: ResponseHead) -> None:
         """See :class:`AttemptOwner`."""
@@ -200,9 +189,8 @@
             return
         events = self._event_filter.feed(data)
         if events and isinstance(self._response, StreamedResponse):
-            if not self._has_response_started:
-                self._record_response_start()
-                self._record_sound_prompt()
+            self._record_response_start()
+            self._sends.answered(now())
             self._relayed_request.head_relayed = True
             self._response.write(events, self.context.timers)
         if self._event_filter.error:
@@ -212,33 +200,34 @@
         """See :class:`AttemptOwner`."""
         response = self._response
         if isinstance(response, BufferedResponse):
-            self._record_sound_prompt()
+            self._sends.answered(now())
             if self._relayed_request.head_relayed:
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
             elif response.head.status >= 500 and self._relayed_request.route.is_idempotent:
                 self._failed_response = response
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
             else:
-                self._end_attempt(response.head.status >= 500)
+                self._end_attempt(None, is_failure=response.head.status >= 500)
                 self._send_response(response, "answered")
         elif not self._event_filter.is_between_events or not self._relayed_request.head_relayed:
             self.on_attempt_failed(SendEnd.BROKEN, "the stream ended in the middle of an event")
         else:
             assert response is not None
-            self._end_attempt(False)
+            self._end_attempt(None, is_failure=False)
             response.finish()
             self._finish("answered")
 
     def on_attempt_failed(self, end: SendEnd, reason: str) -> None:
         """See :class:`AttemptOwner`."""
-        attempt = self._attempt
+        attempt, send = self._attempt, self._sends.current
         assert attempt is not None
+        assert send is not None
         if end is not SendEnd.NOT_SENT:
             self._relayed_request.on_bytes_sent()
         # A send that was withheld, such as after the caller left, says nothing about the target.
         is_withheld = end is SendEnd.NOT_SENT and not self._may_send(attempt.target)
-        failed = None if is_withheld or end is SendEnd.REFUSED else True
-        self._end_attempt(failed, is_broken=end is SendEnd.BROKEN)
+        is_failure = None if is_withheld or end is SendEnd.REFUSED else True
+        self._end_attempt(end, is_failure)
         log_event(
             _LOGGER,
             "send_failed",
@@ -246,19 +235,12 @@
             target=attempt.target.id,
             lifetime=attempt.target.lifetime,
             end=end,
-            responding=self._has_answered_prompt,
+            responding=send.has_answered,
             parts=",".join(part.id for part in self.waiting_request.size.parts) or None,
             organisation=self.waiting_request.organisation or None,
             sent_count=self._relayed_request.sent_count,
             reason=reason,
         )
-        self.context.metrics.count("sends_failed", end=end, pool=self.pool.name)
-        if end is SendEnd.BROKEN and not self._has_answered_prompt:
-            self.context.metrics.count("broken_before_response", pool=self.pool.name)
-        if end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
-            self.pool.admission.refund(self.waiting_request, now())
-        if end is SendEnd.NOT_SENT:
-            self.context.rate_limits.refund(attempt.target.lifetime, now())
         if is_withheld and self._exchange.is_gone():
             self._finish("caller_left")
             return
@@ -289,36 +271,18 @@
 
     def _record_response_start(self) -> None:
         """Record the start of the response, which shows that the prefill is complete."""
-        if self._has_response_started or self._attempt is None:
-            return
-        self._has_response_started = True
-        self._trace.record_response_start(now())
-        self.context.loads.record_first_event(self._attempt.target.id, self.id, now())
-        waited_s = now() - self.waiting_request.arrived_at
-        self.context.metrics.observe("first_byte", self.pool.name, waited_s)
-        self._pools.ensure_polling()
-
-    def _record_sound_prompt(self) -> None:
-        """Record that a target has responded to the prompt without crashing.
-
-        An event of a stream or a whole response shows this, but not the head alone.
-        """
-        self._has_answered_prompt = True
-        if self._attempt is not None:
-            lifetime = self._attempt.target.lifetime
-            self.context.crash_suspects.record_response(lifetime, self.id, now())
+        if self._sends.response_started(now()):
+            self._trace.record_response_start(now())
+            self._pools.ensure_polling()
 
-    def _end_attempt(self, failed: bool | None, is_broken: bool = False) -> None:
+    def _end_attempt(self, end: SendEnd | None, is_failure: bool | None) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
         if self._silence_timer is not None:
             self._silence_timer.cancel()
-        if self._relayed_request.sent_count <= 1 and attempt.is_sent:
-            self.pool.retry_budget.on_request(now())
-        self.context.loads.record_end(attempt.target.id, self.id)
-        self.context.crash_suspects.record_end(attempt.target.lifetime, self.id, is_broken, now())
-        self._pools.record_attempt_end(self.pool, attempt.target, failed)
+        is_first = self._relayed_request.sent_count <= 1 and attempt.is_sent
+        self._sends.end(SendResult(end, is_failure, is_first), now())
         self._pools.ensure_polling()
 
     def _abandon_attempt(self, end: SendEnd, reason: str) -> None:
@@ -359,7 +323,7 @@
         in_flight = self._attempt is not None and self._attempt.is_sent
         if self._attempt is not None:
             self._attempt.cancel()
-            self._end_attempt(None)
+            self._end_attempt(None, is_failure=None)
         if self._failed_response is not None and not self._relayed_request.head_relayed:
             self._send_response(self._failed_response, "passed_on")
             return
@@ -371,7 +335,7 @@
             return
         if self._attempt is not None:
             self._attempt.cancel()
-            self._end_attempt(None)
+            self._end_attempt(None, is_failure=None)
         self._finish("caller_left")
 
     def _send_response(self, response: BufferedResponse, outcome: str) -> None:
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
@@ -0,0 +1,155 @@
+"""Listeners that pass what sends teach on to the state that decisions rest on."""
+
+import logging
+
+from parsleyrudder import (
+    CrashSuspects,
+    FleetRetryBudget,
+    LoadBalancer,
+    PoolAdmission,
+    SendEnd,
+    TargetLoads,
+    TargetRateLimits,
+)
+from parsleyrudder_adapters.logs import log_event
+
+from ..metrics import Metrics
+from .sends import Send, SendListener, SendResult
+
+__all__ = [
+    "CrashListener",
+    "HealthListener",
+    "LoadListener",
+    "MetricsListener",
+    "RateLimitListener",
+    "RetryBudgetListener",
+    "UsageListener",
+]
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LoadListener(SendListener):
+    """Keeps the load of the targets."""
+
+    def __init__(self, loads: TargetLoads) -> None:
+        self._loads = loads
+
+    def on_withdrawn(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._loads.record_end(send.target.id, send.request.id)
+
+    def on_response_start(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._loads.record_first_event(send.target.id, send.request.id, at)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._loads.record_end(send.target.id, send.request.id)
+
+
+class HealthListener(SendListener):
+    """Counts the failures of the targets, which may eject them."""
+
+    def __init__(self, health: LoadBalancer) -> None:
+        self._health = health
+
+    def on_sent(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._health.record_call_start(send.target.id)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        if self._health.record_call_end(send.target.id, result.is_failure, at):
+            log_event(_LOGGER, "target_ejected", logging.WARNING, target=send.target.id)
+
+
+class CrashListener(SendListener):
+    """Collects evidence of what targets crash on."""
+
+    def __init__(self, suspects: CrashSuspects) -> None:
+        self._suspects = suspects
+
+    def on_sent(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        keys = send.request.shared_part_keys
+        self._suspects.record_sent(send.target.lifetime, send.request.id, keys, at)
+
+    def on_answer(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._suspects.record_response(send.target.lifetime, send.request.id, at)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        is_broken = result.end is SendEnd.BROKEN
+        self._suspects.record_end(send.target.lifetime, send.request.id, is_broken, at)
+
+
+class RateLimitListener(SendListener):
+    """Keeps the request rates that targets state."""
+
+    def __init__(self, limits: TargetRateLimits) -> None:
+        self._limits = limits
+
+    def on_withdrawn(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._limits.refund(send.target.lifetime, at)
+
+    def on_limit(self, send: Send, requests_per_s: float | None, at: float) -> None:
+        """See :class:`SendListener`."""
+        lifetime = send.target.lifetime
+        if self._limits.record_response(lifetime, requests_per_s, at):
+            log_event(_LOGGER, "target_limit_changed", lifetime=lifetime, per_s=requests_per_s)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        if result.end is SendEnd.NOT_SENT:
+            self._limits.refund(send.target.lifetime, at)
+
+
+class UsageListener(SendListener):
+    """Refunds the cost of requests that their targets have not run."""
+
+    def __init__(self, admission: PoolAdmission) -> None:
+        self._admission = admission
+
+    def on_withdrawn(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._admission.refund(send.request, at)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        if result.end in (SendEnd.NOT_SENT, SendEnd.REFUSED):
+            self._admission.refund(send.request, at)
+
+
+class RetryBudgetListener(SendListener):
+    """Counts the requests that reached targets, of which the retry budget is a fraction."""
+
+    def __init__(self, budget: FleetRetryBudget) -> None:
+        self._budget = budget
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        if result.is_first:
+            self._budget.on_request(at)
+
+
+class MetricsListener(SendListener):
+    """Counts failed sends and measures the time until responses begin."""
+
+    def __init__(self, metrics: Metrics, pool: str) -> None:
+        self._metrics = metrics
+        self._pool = pool
+
+    def on_response_start(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        self._metrics.observe("first_byte", self._pool, at - send.request.arrived_at)
+
+    def on_end(self, send: Send, result: SendResult, at: float) -> None:
+        """See :class:`SendListener`."""
+        if result.end is None:
+            return
+        self._metrics.count("sends_failed", end=result.end, pool=self._pool)
+        if result.end is SendEnd.BROKEN and not send.has_answered:
+            self._metrics.count("broken_before_response", pool=self._pool)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
@@ -15,7 +15,7 @@
         self.received_bytes = 0
         self.ends = []
 
-    def on_rate_limit(self, target, requests_per_s):
+    def on_rate_limit(self, requests_per_s):
         self.rate_limit_per_s = requests_per_s
 
     def on_attempt_head(self, head):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
@@ -21,6 +21,7 @@
 from parsleyrudder_daemon.metrics import Metrics
 from parsleyrudder_daemon.relay import relay_call
 from parsleyrudder_daemon.relay.relay_call import RelayCall
+from parsleyrudder_daemon.relay.send_listeners import HealthListener
 
 NOW = 100.0
 TARGET = Target("t0", "p", "10.0.0.1:1", "a", 4)
@@ -82,6 +83,10 @@
         ),
     )
     waiting_request = WaitingRequest("1", "org", RequestSize(), NOW, NOW + 1.0, NOW + 5.0)
+    health: Any = SimpleNamespace(
+        record_call_start=lambda id: None,
+        record_call_end=lambda id, failed, at: recorded_failures.append(failed),
+    )
     admission: Any = SimpleNamespace(
         submit=lambda request, at: Placed(request, TARGET),
         resubmit=lambda request, at: None,
@@ -92,13 +97,10 @@
     pool: Any = SimpleNamespace(
         name="p",
         admission=admission,
-        health=SimpleNamespace(record_call_start=lambda id: None),
         retry_budget=FleetRetryBudget(FleetRetryLimits(), NOW),
+        send_listeners=(HealthListener(health),),
     )
-    pools: Any = SimpleNamespace(
-        record_attempt_end=lambda pool, target, failed: recorded_failures.append(failed),
-        ensure_polling=lambda: None,
-    )
+    pools: Any = SimpleNamespace(ensure_polling=lambda: None)
     route = Route("r", "h", "/", RouteKind.UNSAFE, 5.0, {"p": 1.0})
     exchange: Any = Exchange(checks_before_leaving)
     request: Any = SimpleNamespace(id="q", last_event_id=None)
