Log the digest by which a repeated request is recognised

No line told whether requests on which targets crash are one and the same. send_failed and request_finished now have a digest of method, host, path, organisation and body.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -12,6 +12,7 @@
 from .pool_admission import AdmissionRules, PoolAdmission
 from .prompt_cache import PromptCacheIndex, TargetPromptCache
 from .rate_limits import TargetRateLimits
+from .repeat_digest import repeat_digest
 from .requests import RequestSize, WaitingRequest
 from .usage import UsageLedger
 
@@ -36,4 +37,5 @@
     "TargetRateLimits",
     "UsageLedger",
     "WaitingRequest",
+    "repeat_digest",
 ]
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -43,6 +43,8 @@
     :ivar response_due_at: time by which the response, or its first event, is due according to the
         target latency of the route.
     :ivar deadline: time by which the caller must have its final response.
+    :ivar digest: digest by which a repeat of the request is recognised; see
+        :func:`repeat_digest`.
     :ivar shared_part_keys: parts of its prompt that other requests may share.
     :ivar is_trial: whether the request is sent although a part of its prompt is quarantined.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
@@ -54,6 +56,7 @@
     arrived_at: float
     response_due_at: float
     deadline: float
+    digest: str = ""
     shared_part_keys: tuple[PartKey, ...] = ()
     is_trial: bool = False
     excluded_target_ids: set[str] = field(default_factory=set)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -5,9 +5,19 @@
 import random
 from collections.abc import Callable
 
-from parsleyrudder import Decision, Failure, Organisation, PartKey, Route, WaitingRequest, failure
+from parsleyrudder import (
+    Decision,
+    Failure,
+    Organisation,
+    PartKey,
+    Route,
+    WaitingRequest,
+    failure,
+    repeat_digest,
+)
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.logs import log_event
+from parsleyrudder_adapters.request_reader import CallerRequest
 
 from .context import RelayContext, now
 from .dialect import DecodedRequest
@@ -91,6 +101,7 @@
             arrived_at=at,
             response_due_at=at + route.target_latency_s - elapsed_s,
             deadline=at + timeout_s,
+            digest=_digest(exchange.request, request, organisation),
             shared_part_keys=tuple(
                 PartKey(pool.name, part.id) for part in request.size.shared_parts
             ),
@@ -161,3 +172,15 @@
 
     def _on_call_done(self, call: RelayCall) -> None:
         self._call_by_id.pop(call.id, None)
+
+
+def _digest(
+    received: CallerRequest, request: DecodedRequest, organisation: Organisation | None
+) -> str:
+    return repeat_digest(
+        received.method,
+        request.host,
+        received.target,
+        organisation.name if organisation else "",
+        received.body,
+    )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -236,6 +236,7 @@
             lifetime=attempt.target.lifetime,
             end=end,
             responding=send.has_answered,
+            digest=self.waiting_request.digest,
             parts=",".join(part.id for part in self.waiting_request.size.parts) or None,
             organisation=self.waiting_request.organisation or None,
             sent_count=self._relayed_request.sent_count,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
@@ -16,16 +16,16 @@
 
 
 class Dialect:
-    """Decodes a request as its key, and records the refusals."""
+    """Decodes a request by its key, and records the keys of the refused ones."""
 
     def __init__(self):
         self.refusals = []
 
-    def decode_request(self, key):
-        return DecodedRequest("id", "h", "/", key, None, RequestSize(), None)
+    def decode_request(self, request):
+        return DecodedRequest("id", "h", "/", request.key, None, RequestSize(), None)
 
     def refuse(self, exchange, refusal):
-        self.refusals.append((exchange.request, refusal))
+        self.refusals.append((exchange.request.key, refusal))
 
 
 def make_api(monkeypatch, shedder):
@@ -67,7 +67,8 @@
     api, dialect, begun = make_api(monkeypatch, shedder)
     for turn in range(20):
         for key in ["key-large"] * 100 + ["key-small"]:
-            api.on_request(SimpleNamespace(request=key))
+            request = SimpleNamespace(key=key, method="GET", target="/", body=b"")
+            api.on_request(SimpleNamespace(request=request))
         shedder.record_turn(turn_s, 0.3 * (turn + 1))
     assert {key for key, _ in dialect.refusals} == refused
     assert len(begun) + len(dialect.refusals) == 20 * 101
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -67,6 +67,7 @@
             route=relayed_request.route.name,
             pool=pool,
             organisation=waiting_request.organisation or None,
+            digest=waiting_request.digest,
             outcome=outcome,
             reason=reason,
             tried=",".join(sorted(relayed_request.tried_targets)) or None,
