Retrieve the errors of both tasks of a stand-in's connection

Seen once while a test of names ran after tests with cut connections: it failed with a logged 'Task exception was never retrieved', and a second run ended pytest by 'SystemError: AST constructor recursion depth mismatch'. The stand-ins' HTTP server left the error of its second task to the garbage collector; asyncio then formatted the traceback in the server's thread, which parses source code, at the same time as the test. CPython 3.11 keeps one recursion depth for all threads' parsers. Both tasks are now always ended and awaited.

--- a/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -87,7 +87,7 @@
         await self._writer.drain()
 
 
-Handler = Callable[[WebRequest, Reply], Awaitable[None]]
+Handler = Callable[[WebRequest, Reply], Coroutine[Any, Any, None]]
 
 
 async def serve(handler: Handler, port: int) -> asyncio.Server:
@@ -110,27 +110,35 @@
         if request is None:
             return
         reply = Reply(parser, writer)
-        handler_task = asyncio.ensure_future(handler(request, reply))
-        next_read = asyncio.ensure_future(reader.read(_READ_BYTES))
-        done, _ = await asyncio.wait({handler_task, next_read}, return_when=asyncio.FIRST_COMPLETED)
-        if next_read in done and handler_task not in done and not next_read.result():
-            handler_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await handler_task
+        if not await _handle_while_connected(handler(request, reply), parser, reader):
             return
+        if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
+            return
+        parser.start_next_cycle()
+
+
+async def _handle_while_connected(
+    handling: Coroutine[Any, Any, None], parser: h11.Connection, reader: asyncio.StreamReader
+) -> bool:
+    """Handle a request until its client closes the connection; return whether it is still open."""
+    handler_task = asyncio.ensure_future(handling)
+    next_read = asyncio.ensure_future(reader.read(_READ_BYTES))
+    try:
+        await asyncio.wait({handler_task, next_read}, return_when=asyncio.FIRST_COMPLETED)
+        if next_read.done() and not handler_task.done() and not next_read.result():
+            return False
         await handler_task
         if next_read.done():
             early_data = next_read.result()
             if not early_data:
-                return
+                return False
             parser.receive_data(early_data)
-        else:
-            next_read.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await next_read
-        if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
-            return
-        parser.start_next_cycle()
+        return True
+    finally:
+        # The errors of both tasks have to be retrieved, or asyncio logs them at a later time.
+        handler_task.cancel()
+        next_read.cancel()
+        await asyncio.gather(handler_task, next_read, return_exceptions=True)
 
 
 async def _receive_request(
