Reject a request that comes again and has crashed targets

Cause: nothing linked the repeats of one request. Suspects were shared parts of prompts only, which plain services don't have, and a router sees one or two of the crashes. Second sends doubled the crashes.

Change: a request has a digest of method, host, path, organisation and body, and is a suspect beside the parts of its prompt. It is suspected until its response is complete (a target may crash after the first event), is quarantined after three crashes or two waves that any routers saw, cleared by a complete response, and tried as parts are. After a crash it is not sent on to a second target when it breaks off once more. Changes are reported in the next three reports instead of for one second, which a report interval of more than a second would have missed. crash_suspects is split: crash_evidence (sends to crashes), suspicion (rules of one suspect), crash_suspects.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -4,7 +4,8 @@
 serve in time, through several routers that each see only a part of the traffic.
 """
 
-from .crash_suspects import CrashRules, CrashSuspects, PartKey, Quarantine
+from .crash_evidence import Crash, Suspect
+from .crash_suspects import CrashSuspects, Quarantine
 from .decisions import Decision, Placed, Refused
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
@@ -14,16 +15,17 @@
 from .rate_limits import TargetRateLimits
 from .repeat_digest import repeat_digest
 from .requests import RequestSize, WaitingRequest
+from .suspicion import CrashRules
 from .usage import UsageLedger
 
 __all__ = [
     "AdmissionRules",
+    "Crash",
     "CrashRules",
     "CrashSuspects",
     "Decision",
     "LoadShedder",
     "LongPromptTargets",
-    "PartKey",
     "Placed",
     "PoolAdmission",
     "PromptCacheIndex",
@@ -32,6 +34,7 @@
     "Refused",
     "RequestSize",
     "SheddingRules",
+    "Suspect",
     "TargetLoads",
     "TargetPromptCache",
     "TargetRateLimits",
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from ..membership import rendezvous
+from ..messages import SuspectKind
 from ..targets import Target
 from .crash_suspects import CrashSuspects
 from .decisions import Decision, Placed, Refused
@@ -193,18 +194,22 @@
         if target is not None:
             placed = self._placed(request, target, uncached_by_id[target.id])
             self.record_sent(placed, now)
-            request.is_trial = self.crash_suspects.record_trial(request.shared_part_keys, now)
+            request.is_trial = self.crash_suspects.record_trial(request.suspects, now)
             return placed
         if now >= self._queue_until(request, uncached_by_id):
             return self._refuse(request, _NOT_IN_TIME, now)
         return None
 
     def _reject_quarantined(self, request: WaitingRequest, now: float) -> Refused | None:
-        """Reject a request with a prompt part that has crashed targets."""
-        quarantine = self.crash_suspects.quarantine(request.shared_part_keys, now)
+        """Reject a request on which, or on a part of whose prompt, targets have crashed."""
+        quarantine = self.crash_suspects.quarantine(request.suspects, now)
         if quarantine is None:
             return None
-        reason = f"{quarantine.crashes} targets crashed on part {quarantine.key.part} of the prompt"
+        suspect = quarantine.suspect
+        if suspect.kind is SuspectKind.REQUEST:
+            reason = f"{quarantine.crashes} targets crashed on this request"
+            return Refused(request, reason, quarantine.retry_after_s, "request_quarantined")
+        reason = f"{quarantine.crashes} targets crashed on part {suspect.id} of the prompt"
         return Refused(request, reason, quarantine.retry_after_s, "quarantined")
 
     def _uncached_by_id(self, size: RequestSize) -> dict[str, int]:
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..messages import PromptPart
-from .crash_suspects import PartKey
+from .crash_evidence import Suspect
 
 __all__ = ["RequestSize", "WaitingRequest"]
 
@@ -45,8 +45,9 @@
     :ivar deadline: time by which the caller must have its final response.
     :ivar digest: digest by which a repeat of the request is recognised; see
         :func:`repeat_digest`.
-    :ivar shared_part_keys: parts of its prompt that other requests may share.
-    :ivar is_trial: whether the request is sent although a part of its prompt is quarantined.
+    :ivar suspects: what targets may crash on: the request itself, and the parts of its prompt that
+        other requests may share.
+    :ivar is_trial: whether the request is sent although one of them is quarantined.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
     """
 
@@ -57,6 +58,6 @@
     response_due_at: float
     deadline: float
     digest: str = ""
-    shared_part_keys: tuple[PartKey, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
     is_trial: bool = False
     excluded_target_ids: set[str] = field(default_factory=set)
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_crash_suspects.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_crash_suspects.py
@@ -1,15 +1,17 @@
-"""Which prompt parts are quarantined after which crashes, and when they are tried again."""
+"""Which requests and prompt parts are quarantined after which crashes, and when tried again."""
 
 import pytest
-from parsleyrudder import CrashRules, CrashSuspects, PartKey
+from parsleyrudder import CrashRules, CrashSuspects, Suspect, SuspectKind
 
 RULES = CrashRules()
-COMMON, BAD, OTHER = (PartKey("p", part) for part in ("common", "bad", "other"))
+CONFIRM_S = 0.25
+COMMON, BAD, OTHER = (Suspect("p", SuspectKind.PART, id) for id in ("common", "bad", "other"))
+REPEATED = Suspect("p", SuspectKind.REQUEST, "repeated")
 KEYS = (COMMON, BAD)
 
 
 def make_router(rank):
-    return CrashSuspects(trial_rank=lambda part: rank)
+    return CrashSuspects(trial_rank=lambda id: rank)
 
 
 class Fleet:
@@ -28,7 +30,7 @@
 
     def exchange(self):
         for sender in self.routers:
-            for report in sender.report(self.now):
+            for report in sender.take_report(self.now):
                 for receiver in self.routers:
                     if receiver is not sender:
                         receiver.record_report(report, self.now)
@@ -38,14 +40,16 @@
         self.routers[router].record_sent(lifetime, str(self.requests), keys, self.now)
         return str(self.requests)
 
-    def crash(self, router, lifetime, keys=KEYS):
+    def crash(self, router, lifetime, keys=KEYS, responding=False):
         request = self.send(router, lifetime, keys)
-        self.routers[router].record_end(lifetime, request, True, self.now)
+        if responding:
+            self.routers[router].record_response(lifetime, request, self.now)
+        self.routers[router].record_broken(lifetime, request, self.now)
 
     def respond(self, router, lifetime, keys):
         request = self.send(router, lifetime, keys)
         self.routers[router].record_response(lifetime, request, self.now)
-        self.routers[router].record_end(lifetime, request, False, self.now)
+        self.routers[router].record_complete(lifetime, request, self.now)
 
     def rejecting(self, keys=KEYS):
         """Return the numbers of the routers that reject a request."""
@@ -112,12 +116,12 @@
     fleet.crash(0, "t0/1")
     fleet.advance(3.0)
     fleet.crash(1, "t1/1")
-    fleet.advance(RULES.confirm_s)
+    fleet.advance(CONFIRM_S)
     assert fleet.rejecting() == [0, 1]
     quarantine = fleet.routers[0].quarantine(KEYS, fleet.now)
     assert quarantine is not None
-    assert (quarantine.key, quarantine.crashes) == (COMMON, 2)
-    assert quarantine.retry_after_s == pytest.approx(RULES.first_trial_s, abs=RULES.confirm_s)
+    assert (quarantine.suspect, quarantine.crashes) == (COMMON, 2)
+    assert quarantine.retry_after_s == pytest.approx(RULES.first_trial_s, abs=CONFIRM_S)
     fleet.advance(RULES.first_trial_s)
     assert fleet.rejecting() == [1]
     assert fleet.routers[0].record_trial(KEYS, fleet.now)
@@ -141,8 +145,9 @@
     fleet.respond(0, "t9/1", KEYS)
     fleet.exchange()
     assert fleet.rejecting() == []
-    fleet.advance(RULES.repeat_s)
-    assert all(router.report(fleet.now) == () for router in fleet.routers)
+    for _ in range(RULES.report_count):
+        fleet.exchange()
+    assert all(router.take_report(fleet.now) == () for router in fleet.routers)
 
 
 def test_a_restarted_router_learns_quarantined_parts_from_the_others():
@@ -190,7 +195,7 @@
     crashes = [
         len(report.crash_age_ms_by_lifetime)
         for router in fleet.routers
-        for report in router.report(fleet.now)
+        for report in router.take_report(fleet.now)
     ]
     assert max(crashes, default=0) <= 64
 
@@ -203,3 +208,87 @@
     fleet.crash(0, "t1/1")
     fleet.advance(5.0)
     assert fleet.rejecting() == []
+
+
+@pytest.mark.parametrize("responding", [False, True], ids=["before-response", "amid-response"])
+@pytest.mark.parametrize(
+    ("crash_times_s", "is_quarantined"),
+    [
+        pytest.param([0.0], False, id="one-crash"),
+        pytest.param([0.0, 0.1], False, id="one-request-sent-twice"),
+        pytest.param([0.0, 0.1, 0.2], True, id="three-at-once"),
+        pytest.param([0.0, 3.0], True, id="two-waves"),
+    ],
+)
+def test_a_repeated_request_is_quarantined_and_what_resembles_it_is_not(
+    crash_times_s, is_quarantined, responding
+):
+    """Each crash is seen by another router, and interrupts a sound request too."""
+    fleet = Fleet(routers=3)
+    last_s = 0.0
+    for number, crash_s in enumerate(crash_times_s):
+        fleet.advance(crash_s - last_s)
+        last_s = crash_s
+        beside = Suspect("p", SuspectKind.REQUEST, f"beside{number}")
+        fleet.crash(number % 3, f"t{number}/1", (REPEATED, COMMON), responding)
+        fleet.crash((number + 1) % 3, f"t{number}/1", (beside, COMMON), responding=True)
+        fleet.advance(0.0)
+    for _ in range(8):
+        fleet.advance(CONFIRM_S)
+        fleet.respond(0, "alive/1", (COMMON,))
+    assert fleet.rejecting((REPEATED,)) == ([0, 1, 2] if is_quarantined else [])
+    assert fleet.rejecting((beside, COMMON)) == []
+
+
+def test_a_request_is_quarantined_as_soon_as_its_third_crash_is_certain():
+    fleet = Fleet(routers=3)
+    for number in range(3):
+        fleet.crash(number, f"t{number}/1", (REPEATED,))
+    fleet.advance(CONFIRM_S)
+    assert fleet.rejecting((REPEATED,)) == [0, 1, 2]
+
+
+def test_only_a_complete_response_clears_a_request():
+    """Guards against a stream that crashes its target after its first event."""
+    fleet = Fleet(routers=2)
+    for number in range(3):
+        fleet.crash(number % 2, f"t{number}/1", (REPEATED,), responding=True)
+        fleet.advance(2.0)
+    assert fleet.rejecting((REPEATED,)) == [0, 1]
+    fleet.advance(200.0)
+    assert fleet.routers[0].record_trial((REPEATED,), fleet.now)
+    fleet.respond(0, "t9/1", (REPEATED,))
+    fleet.exchange()
+    assert fleet.rejecting((REPEATED,)) == []
+
+
+@pytest.mark.parametrize(
+    ("suspects", "is_complete", "expected"),
+    [
+        pytest.param((REPEATED,), False, [True, True], id="crashed-at-one-router"),
+        pytest.param((REPEATED,), True, [False, False], id="complete-since"),
+        pytest.param((COMMON,), False, [False, False], id="a-common-part"),
+    ],
+)
+def test_a_request_that_crashed_a_target_is_known_at_all_routers(suspects, is_complete, expected):
+    """Guards against a second send to another target when the request breaks off once more."""
+    fleet = Fleet(routers=2)
+    fleet.crash(0, "t0/1", suspects)
+    fleet.advance(CONFIRM_S)
+    if is_complete:
+        fleet.respond(1, "t1/1", suspects)
+        fleet.advance(0.0)
+    assert [router.has_crashed(suspects) for router in fleet.routers] == expected
+
+
+def test_quarantined_requests_outlast_the_suspicions_of_sound_ones():
+    """Each crash of an engine interrupts many sound requests."""
+    fleet = Fleet()
+    for number in range(2):
+        fleet.crash(0, f"t{number}/1", (REPEATED,))
+        fleet.advance(2.0)
+    for number in range(2000):
+        fleet.crash(0, f"u{number // 50}/1", (Suspect("p", SuspectKind.REQUEST, str(number)),))
+    fleet.advance(CONFIRM_S)
+    assert fleet.rejecting((REPEATED,)) == [0]
+    assert len(fleet.routers[0].quarantined(fleet.now)) == 1
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -5,6 +5,8 @@
 that fails to decode raises an error; it is never accepted in part.
 """
 
+from enum import StrEnum
+
 import msgspec
 
 from .lists import Difference
@@ -23,7 +25,8 @@
     "MemberTotal",
     "Message",
     "OrganisationUsage",
-    "PartCrashes",
+    "SuspectCrashes",
+    "SuspectKind",
     "PromptPart",
     "Report",
     "RouterInfo",
@@ -293,18 +296,28 @@
     parts: tuple[PromptPart, ...]
 
 
-class PartCrashes(_Part, frozen=True):
-    """What the sender knows of a prompt part that may crash targets.
+class SuspectKind(StrEnum):
+    """What requests that crash targets have in common."""
+
+    PART = "part"
+    """A part of the prompt; sound if a response to a prompt with it has begun."""
+    REQUEST = "request"
+    """Method, path, organisation and body; sound if a response to the request is complete."""
+
+
+class SuspectCrashes(_Part, frozen=True):
+    """What the sender knows of a suspect; see :class:`Suspect`.
 
     :ivar crash_age_ms_by_lifetime: milliseconds since the crashes of targets under requests with
-        the part, by the target's lifetime; those observed by any router.
-    :ivar cleared_age_ms: milliseconds since a response to a request with the part last began at the
-        sender; None if there was none.
-    :ivar trial_age_ms: milliseconds since the sender last tried the part; None if it has not.
+        the suspect, by the target's lifetime; those observed by any router.
+    :ivar cleared_age_ms: milliseconds since the sender last found the suspect sound; None if it
+        has not.
+    :ivar trial_age_ms: milliseconds since the sender last tried the suspect; None if it has not.
     """
 
     pool: str
-    part: str
+    kind: SuspectKind
+    id: str
     crash_age_ms_by_lifetime: dict[str, int] = {}
     cleared_age_ms: int | None = None
     trial_age_ms: int | None = None
@@ -333,7 +346,7 @@
     :ivar all_prompt_tokens: decaying sum of the tokens of all prompts.
     :ivar sent_parts: prompt parts sent to targets since the previous message; they are not repeated
         if the message is lost.
-    :ivar part_crashes: prompt parts that may crash targets.
+    :ivar suspect_crashes: what may crash targets.
     :ivar target_limits: rate limits that targets have stated recently.
     """
 
@@ -346,7 +359,7 @@
     long_prompt_tokens: float = 0.0
     all_prompt_tokens: float = 0.0
     sent_parts: tuple[SentParts, ...] = ()
-    part_crashes: tuple[PartCrashes, ...] = ()
+    suspect_crashes: tuple[SuspectCrashes, ...] = ()
     target_limits: tuple[TargetLimit, ...] = ()
 
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -9,8 +9,9 @@
     Decision,
     Failure,
     Organisation,
-    PartKey,
     Route,
+    Suspect,
+    SuspectKind,
     WaitingRequest,
     failure,
     repeat_digest,
@@ -94,6 +95,7 @@
             # difference to the longest timeout seen on this route is the time already elapsed.
             elapsed_s = max_timeout_s - request.timeout_s
             timeout_s = min(timeout_s, request.timeout_s)
+        digest = _digest(exchange.request, request, organisation)
         waiting_request = WaitingRequest(
             id=str(next(self._id_counter)),
             organisation=organisation.name if organisation else "",
@@ -101,10 +103,8 @@
             arrived_at=at,
             response_due_at=at + route.target_latency_s - elapsed_s,
             deadline=at + timeout_s,
-            digest=_digest(exchange.request, request, organisation),
-            shared_part_keys=tuple(
-                PartKey(pool.name, part.id) for part in request.size.shared_parts
-            ),
+            digest=digest,
+            suspects=_suspects(pool.name, digest, request),
         )
         call = RelayCall(
             self._context,
@@ -184,3 +184,9 @@
         organisation.name if organisation else "",
         received.body,
     )
+
+
+def _suspects(pool: str, digest: str, request: DecodedRequest) -> tuple[Suspect, ...]:
+    """Return what targets of a pool may crash on."""
+    parts = (Suspect(pool, SuspectKind.PART, part.id) for part in request.size.shared_parts)
+    return (Suspect(pool, SuspectKind.REQUEST, digest), *parts)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
@@ -1,9 +1,10 @@
-"""Reports between routers on prompt parts that crash targets, and the log lines on them."""
+"""Reports between routers on what crashes targets, and the log lines on them."""
 
 import logging
+from collections import Counter
 from collections.abc import Iterable
 
-from parsleyrudder import PartCrashes, PartKey
+from parsleyrudder import Suspect, SuspectCrashes, SuspectKind
 from parsleyrudder_adapters.logs import log_event
 
 from .context import RelayContext
@@ -14,34 +15,53 @@
 
 
 class CrashReports:
-    """Exchanges the suspected parts with other routers; see :class:`CrashSuspects`."""
+    """Exchanges suspicions with other routers; see :class:`CrashSuspects`."""
 
     def __init__(self, context: RelayContext) -> None:
         self._context = context
-        self._quarantined: set[PartKey] = set()
+        self._quarantined: set[Suspect] = set()
 
-    def prepare(self, at: float) -> tuple[PartCrashes, ...]:
+    def prepare(self, at: float) -> tuple[SuspectCrashes, ...]:
         """Return the report for the other routers, after confirming this router's own crashes."""
         suspects = self._context.crash_suspects
-        for lifetime, key in suspects.confirm(at):
-            log_event(_LOGGER, "crash_suspected", part=key.part, pool=key.pool, lifetime=lifetime)
-            self._context.metrics.count("crashes_suspected", pool=key.pool)
+        for crash in suspects.confirm(at):
+            for suspect in crash.suspects:
+                self._log("crash_suspected", suspect, lifetime=crash.lifetime)
+                self._context.metrics.count(
+                    "crashes_suspected", kind=suspect.kind, pool=suspect.pool
+                )
         self._log_changes(at)
-        return suspects.report(at)
+        return suspects.take_report(at)
 
-    def receive(self, reports: Iterable[PartCrashes], at: float) -> None:
+    def receive(self, reports: Iterable[SuspectCrashes], at: float) -> None:
         """Merge the reports of another router."""
         for report in reports:
             self._context.crash_suspects.record_report(report, at)
 
     def _log_changes(self, at: float) -> None:
-        quarantined = self._context.crash_suspects.quarantined_parts(at)
-        for key in sorted(quarantined - self._quarantined):
-            self._log("part_quarantined", key, logging.WARNING)
-        for key in sorted(self._quarantined - quarantined):
-            self._log("part_released", key, logging.INFO)
+        quarantined = self._context.crash_suspects.quarantined(at)
+        for suspect in sorted(quarantined - self._quarantined):
+            self._log("quarantine_began", suspect, level=logging.WARNING)
+        for suspect in sorted(self._quarantined - quarantined):
+            self._log("quarantine_ended", suspect)
         self._quarantined = quarantined
-        self._context.metrics.set_gauge("parts_quarantined", len(quarantined))
+        count_by_kind = Counter(suspect.kind for suspect in quarantined)
+        for kind in SuspectKind:
+            self._context.metrics.set_gauge(f"{kind}s_quarantined", count_by_kind[kind])
 
-    def _log(self, event: str, key: PartKey, level: int) -> None:
-        log_event(_LOGGER, event, level, part=key.part, pool=key.pool)
+    def _log(
+        self,
+        event: str,
+        suspect: Suspect,
+        lifetime: str | None = None,
+        level: int = logging.INFO,
+    ) -> None:
+        log_event(
+            _LOGGER,
+            event,
+            level,
+            kind=suspect.kind,
+            suspect=suspect.id,
+            pool=suspect.pool,
+            lifetime=lifetime,
+        )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -171,7 +171,7 @@
         self._context.long_prompt_targets.record_report(message.sender, volume, at)
         for entry in message.sent_parts:
             self._context.prompt_cache.record_reported(entry.lifetime, entry.parts)
-        self._crash_reports.receive(message.part_crashes, at)
+        self._crash_reports.receive(message.suspect_crashes, at)
         for limit in message.target_limits:
             if self._context.rate_limits.record_report(limit, at):
                 log_event(
@@ -244,7 +244,7 @@
             long_prompt_tokens=volume.long_prompt_tokens,
             all_prompt_tokens=volume.all_prompt_tokens,
             sent_parts=tuple(SentParts(lifetime, parts) for lifetime, parts in unreported),
-            part_crashes=self._crash_reports.prepare(at),
+            suspect_crashes=self._crash_reports.prepare(at),
             target_limits=self._context.rate_limits.report(at),
         )
         self._send_to_all(message)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -143,8 +143,8 @@
     def _may_send(self, target: Target) -> bool:
         """Whether the request may still be sent to a target; checked just before it is sent.
 
-        The target must be unchanged, the caller still waiting before its deadline, and no part of
-        the prompt quarantined meanwhile.
+        The target must be unchanged, the caller still waiting before its deadline, and the request
+        not quarantined meanwhile.
         """
         current = self.context.targets.by_id.get(target.id)
         return (
@@ -158,8 +158,8 @@
         )
 
     def _is_quarantined(self) -> bool:
-        keys = self.waiting_request.shared_part_keys
-        return self.context.crash_suspects.quarantine(keys, now()) is not None
+        suspects = self.waiting_request.suspects
+        return self.context.crash_suspects.quarantine(suspects, now()) is not None
 
     def on_rate_limit(self, requests_per_s: float | None) -> None:
         """See :class:`AttemptOwner`."""
@@ -246,7 +246,7 @@
             self._finish("caller_left")
             return
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
-        if self._relayed_request.may_retry(end, now()) and self._claim_retry():
+        if self._may_retry(end) and self._claim_retry():
             self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         elif self._failed_response is not None and not self._relayed_request.head_relayed:
             self._send_response(self._failed_response, "passed_on")
@@ -256,6 +256,17 @@
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
             )
 
+    def _may_retry(self, end: SendEnd) -> bool:
+        """Whether the request may be sent to another target after a failed send.
+
+        A request on which a target crashed before, and that has broken off again, is not sent on:
+        it may crash the next target too.
+        """
+        if not self._relayed_request.may_retry(end, now()):
+            return False
+        suspects = self.waiting_request.suspects
+        return end is not SendEnd.BROKEN or not self.context.crash_suspects.has_crashed(suspects)
+
     def _claim_retry(self) -> bool:
         """Take a retry from the budget, and return whether the budget allowed it.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
@@ -72,8 +72,8 @@
 
     def on_sent(self, send: Send, at: float) -> None:
         """See :class:`SendListener`."""
-        keys = send.request.shared_part_keys
-        self._suspects.record_sent(send.target.lifetime, send.request.id, keys, at)
+        request = send.request
+        self._suspects.record_sent(send.target.lifetime, request.id, request.suspects, at)
 
     def on_answer(self, send: Send, at: float) -> None:
         """See :class:`SendListener`."""
@@ -81,8 +81,13 @@
 
     def on_end(self, send: Send, result: SendResult, at: float) -> None:
         """See :class:`SendListener`."""
-        is_broken = result.end is SendEnd.BROKEN
-        self._suspects.record_end(send.target.lifetime, send.request.id, is_broken, at)
+        lifetime, request = send.target.lifetime, send.request.id
+        if result.end is SendEnd.BROKEN:
+            self._suspects.record_broken(lifetime, request, at)
+        elif result.is_complete:
+            self._suspects.record_complete(lifetime, request, at)
+        else:
+            self._suspects.record_cancelled(lifetime, request)
 
 
 class RateLimitListener(SendListener):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/sends.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/sends.py
@@ -35,6 +35,11 @@
     is_failure: bool | None
     is_first: bool = False
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the target has completed the request without a failure."""
+        return self.end is None and self.is_failure is False
+
 
 class SendListener(Protocol):
     """Something that learns from sends; times are in seconds of monotonic time.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
@@ -56,7 +56,7 @@
 
     monkeypatch.setattr(relay_api, "RelayCall", Call)
     api = RelayApi(context, random.Random(1), lambda: None)
-    monkeypatch.setattr(api.pools, "get", lambda name: None)
+    monkeypatch.setattr(api.pools, "get", lambda name: SimpleNamespace(name=name))
     return api, dialect, begun
 
 
