Log software versions, and the streams that callers take up

No line told at which version a stream went on. A target's version is read from its entry; send_failed has version, request_finished versions (of the targets that events came from) and resumes (the request that began the stream), the state line the versions of all targets.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -19,6 +19,8 @@
     :ivar timeout_s: time for which the caller will wait; None if it is not given.
     :ivar last_event_id: last event of the stream that the caller has received; None to send the
         stream from its start.
+    :ivar resumes: id of the request that brought the first event of the stream that the caller
+        takes up; None if it takes none up.
     """
 
     id: str
@@ -28,6 +30,7 @@
     timeout_s: float | None
     size: RequestSize = field(default_factory=RequestSize)
     last_event_id: int | None = None
+    resumes: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -75,7 +75,7 @@
         self._is_finished = False
         # Whether the retry budget for the next retry has already been taken.
         self._has_reserved_retry = False
-        self._trace = RequestTrace(request.id)
+        self._trace = RequestTrace(request.id, request.resumes)
         exchange.on_gone = self._on_caller_left
         remaining_s = max(0.0, waiting_request.deadline - now() - _RESPONSE_MARGIN_S)
         self._deadline_timer = context.timers.after(remaining_s, self._on_deadline)
@@ -234,6 +234,7 @@
             request=self._request.id,
             target=attempt.target.id,
             lifetime=attempt.target.lifetime,
+            version=attempt.target.version or None,
             end=end,
             responding=send.has_answered,
             digest=self.waiting_request.digest,
@@ -283,8 +284,9 @@
 
     def _record_response_start(self) -> None:
         """Record the start of the response, which shows that the prefill is complete."""
-        if self._sends.response_started(now()):
-            self._trace.record_response_start(now())
+        send = self._sends.current
+        if send is not None and self._sends.response_started(now()):
+            self._trace.record_response_start(send.target.version, now())
             self._pools.ensure_polling()
 
     def _end_attempt(self, end: SendEnd | None, is_failure: bool | None) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
@@ -54,6 +54,7 @@
             target_connections=context.client.connection_count,
             turn_ms=round(1000 * self._poller.take_longest_turn_s(), 1),
             limits=_limits_text(context.rate_limits, targets),
+            versions="/".join(t.version for t in targets),
             running="/".join(str(loads.running(t.id)) for t in targets),
             unread="/".join(str(loads.pending_prefill_tokens(t.id)) for t in targets),
             tokens_per_s="/".join(str(round(loads.prefill_tokens_per_s(t.id))) for t in targets),
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
@@ -103,7 +103,7 @@
     pools: Any = SimpleNamespace(ensure_polling=lambda: None)
     route = Route("r", "h", "/", RouteKind.UNSAFE, 5.0, {"p": 1.0})
     exchange: Any = Exchange(checks_before_leaving)
-    request: Any = SimpleNamespace(id="q", last_event_id=None)
+    request: Any = SimpleNamespace(id="q", last_event_id=None, resumes=None)
     done: list[Any] = []
     RelayCall(context, pools, pool, exchange, request, route, waiting_request, done.append).begin()
     return client.sends, recorded_failures, bool(done)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -1,7 +1,7 @@
 """Log line of one request: the decision, its inputs and the outcome."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from parsleyrudder import Placed, RelayedRequest, WaitingRequest
 from parsleyrudder_adapters.logs import log_event
@@ -16,6 +16,9 @@
     """Times and inputs of one request, in seconds of monotonic time.
 
     :ivar id: id that the caller gave the request.
+    :ivar resumes: id of the request that brought the first event of the stream, if the caller takes
+        one up.
+    :ivar versions: software versions of the targets of which events or a whole response came.
     :ivar placed: latest decision to place the request.
     :ivar placed_at: time of the first such decision.
     :ivar response_started_at: time at which the first response started.
@@ -24,6 +27,8 @@
     """
 
     id: str
+    resumes: str | None = None
+    versions: list[str] = field(default_factory=list)
     placed: Placed | None = None
     placed_at: float | None = None
     response_started_at: float | None = None
@@ -43,8 +48,12 @@
             self.longest_pause_s = max(self.longest_pause_s or 0.0, at - self.last_activity_at)
         self.last_activity_at = at
 
-    def record_response_start(self, at: float) -> None:
-        """Record that a response has started; only the first one counts."""
+    def record_response_start(self, version: str, at: float) -> None:
+        """Record that the response of a target has started; only the first one counts for the time.
+
+        :param version: software version of the target.
+        """
+        self.versions.append(version)
         if self.response_started_at is None:
             self.response_started_at = at
 
@@ -70,6 +79,8 @@
             digest=waiting_request.digest,
             outcome=outcome,
             reason=reason,
+            resumes=self.resumes,
+            versions=",".join(self.versions) or None,
             tried=",".join(sorted(relayed_request.tried_targets)) or None,
             position=placed.share_ratio if placed else None,
             tokens_in=waiting_request.size.prompt_tokens or None,
