--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -172,7 +172,7 @@
             if not isinstance(self._response, StreamedResponse):
                 self._response = StreamedResponse(self._exchange, head, self._attempt)
             else:
-                self._response.attempt = self._attempt
+                self._response.go_on_from(head, self._attempt)
         else:
             self._record_response_start()
             self._response = BufferedResponse(head)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
@@ -24,7 +24,9 @@
 
 
 class StreamedResponse:
-    """A stream of events that is relayed as it arrives, with the head of the first response.
+    """A stream of events that is relayed as it arrives.
+
+    The head is that of the response that the first event came with.
 
     :ivar attempt: attempt that the events are currently received from.
     """
@@ -40,6 +42,12 @@
         self._is_paused = False
         self.attempt = attempt
 
+    def go_on_from(self, head: ResponseHead, attempt: Attempt | None) -> None:
+        """Relay the events of another attempt from now on."""
+        self.attempt = attempt
+        if not self._is_head_sent:
+            self._head = head
+
     def write(self, events: bytes, timers: Timers) -> None:
         """Relay complete events, and the head before the first of them."""
         if not self._is_head_sent:
