Let a stream go on only at the software version that began it

Cause: no router read a target's version, or which request had begun a stream that a caller takes up. Class: state of a session that only the process that began it holds, and a choice that ignores compatibility.

Change: a request whose events have been relayed is bound to the version of their target. A take-up is bound to the version that began the stream: the router remembers its own streams; while versions are mixed it tells two holders, the next routers on a hash ring, of each stream; a take-up elsewhere asks eight. Records follow changes of the ring and are handed over at a stop. A take-up is due within the pause that its route allows; counted from the first request it was overdue and refused first under load.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -30,6 +30,8 @@
 _MIN_ATTEMPTS_PER_POLL = 2
 _MIN_RETRY_AFTER_S = 0.3
 _MAX_RETRY_AFTER_S = 4.0
+# A target that has crashed is often back with its version after a few seconds.
+_VERSION_RETRY_AFTER_S = 1.0
 # Weight of prefill time in the ranking of targets. It is above 1 because prefilling a shared part
 # again also evicts parts that other requests need.
 _PREFILL_WEIGHT = 3.0
@@ -189,6 +191,9 @@
         rejected = self._reject_quarantined(request, now)
         if rejected is not None:
             return rejected
+        if request.required_version is not None and not self._remaining_targets(request):
+            reason = f"no target runs version {request.required_version!r}, which began the stream"
+            return Refused(request, reason, _VERSION_RETRY_AFTER_S, "version_unavailable")
         uncached_by_id = self._uncached_by_id(request.size)
         target = self._select_target(request, uncached_by_id, now)
         if target is not None:
@@ -286,16 +291,21 @@
         If all targets that are not excluded are ejected, returns these, because only a request
         can show whether one of them works again.
         """
-        remaining = self.targets
-        if request.excluded_target_ids:
-            remaining = [
-                target for target in remaining if target.id not in request.excluded_target_ids
-            ]
+        remaining = self._remaining_targets(request)
         ejected = self.ejected_targets(now)
         if not ejected:
             return remaining
         return [target for target in remaining if target.id not in ejected] or remaining
 
+    def _remaining_targets(self, request: WaitingRequest) -> list[Target]:
+        """Return the targets that have not failed the request and may go on with its stream."""
+        remaining = self.targets
+        if request.excluded_target_ids:
+            remaining = [t for t in remaining if t.id not in request.excluded_target_ids]
+        if request.required_version is not None:
+            remaining = [t for t in remaining if t.version == request.required_version]
+        return remaining
+
     def _limits(self, request: WaitingRequest) -> tuple[float, float]:
         """Return the fraction of slots and the factor on the allowed wait for a request.
 
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -48,6 +48,9 @@
     :ivar suspects: what targets may crash on: the request itself, and the parts of its prompt that
         other requests may share.
     :ivar is_trial: whether the request is sent although one of them is quarantined.
+    :ivar stream_id: id by which its caller can take the stream up; empty if it can't.
+    :ivar required_version: software version of the only targets that may get the request, as they
+        have begun its stream; None if any may get it.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
     """
 
@@ -60,4 +63,6 @@
     digest: str = ""
     suspects: tuple[Suspect, ...] = ()
     is_trial: bool = False
+    stream_id: str = ""
+    required_version: str | None = None
     excluded_target_ids: set[str] = field(default_factory=set)
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -246,3 +246,33 @@
     assert submit(pool, id="long", size=prompt(40_000), target_latency_s=0.4) is None
     pool.loads.record_report("router", {"t0": LoadReport(1, 5_000)}, 0.2)
     assert [type(decision) for decision in pool.poll(0.2)] == [Placed]
+
+
+@pytest.mark.parametrize(
+    ("versions", "failed", "full", "expected"),
+    [
+        pytest.param(["v2", "v1"], [], [], "t1", id="the-only-one"),
+        pytest.param(["v2", "v1", "v1"], ["t1"], [], "t2", id="another-has-failed"),
+        pytest.param(["v2", "v1"], [], ["t1"], None, id="full-so-it-waits"),
+        pytest.param(["v2", "v2"], [], [], "version_unavailable", id="none-left"),
+        pytest.param(["v2", "v1"], ["t1"], [], "version_unavailable", id="the-only-one-failed"),
+    ],
+)
+def test_a_stream_goes_on_at_its_version_or_is_refused_at_once(versions, failed, full, expected):
+    pool = make(targets=0)
+    pool.set_targets(
+        Target(f"t{n}", "p", f"10.0.0.{n}:1", "a", 4, version=version)
+        for n, version in enumerate(versions)
+    )
+    pool.loads.record_report("other", {id: LoadReport(4, 0) for id in full}, 0.0)
+    take_up = request()
+    take_up.required_version = "v1"
+    take_up.excluded_target_ids.update(failed)
+    decision = pool.submit(take_up, 0.0)
+    if isinstance(decision, Placed):
+        assert decision.target.id == expected
+    elif isinstance(decision, Refused):
+        assert decision.code == expected
+        assert decision.retry_after_s > 0.0
+    else:
+        assert expected is None
--- a/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
@@ -23,7 +23,9 @@
 )
 from .relays import RelayedRequest, SendEnd
 from .retries import RetryBudget
+from .stream_origins import OriginInquiry, StreamOrigins, stream_key
 from .streams import CompletionStream, StreamPart
+from .version_history import VersionHistory
 
 __all__ = [
     "KEYS_PREFIX",
@@ -40,11 +42,14 @@
     "KeyRow",
     "KeyState",
     "KeyWrite",
+    "OriginInquiry",
     "RelayedRequest",
     "Retry",
     "RetryBudget",
     "SendEnd",
+    "StreamOrigins",
     "StreamPart",
+    "VersionHistory",
     "expired_row_deletes",
     "is_valid_key",
     "key_path",
@@ -53,4 +58,5 @@
     "request_digest",
     "resolve_repeat",
     "result_row",
+    "stream_key",
 ]
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -25,13 +25,17 @@
     "MemberTotal",
     "Message",
     "OrganisationUsage",
-    "SuspectCrashes",
-    "SuspectKind",
+    "OriginReply",
+    "OriginRequest",
     "PromptPart",
     "Report",
     "RouterInfo",
     "RouterState",
     "SentParts",
+    "StreamStart",
+    "StreamStarts",
+    "SuspectCrashes",
+    "SuspectKind",
     "TableNews",
     "TargetLimit",
     "decode_message",
@@ -391,7 +395,61 @@
     removed: dict[str, int] = {}
 
 
-Message = Report | Grant | Gossip | ConfigRequest | ConfigReply | LoadMessage | TableNews
+class StreamStart(_Part, frozen=True):
+    """A stream that has brought its first event to its caller.
+
+    :ivar key: key of the request that brought it; see :func:`stream_key`.
+    :ivar pool: pool of the target that began the stream.
+    :ivar version: software version of this target; see :attr:`Target.version`.
+    """
+
+    key: bytes
+    pool: str
+    version: str
+
+
+class StreamStarts(_Message, frozen=True):
+    """Streams that the sender has begun, or that it hands over because it stops."""
+
+    starts: tuple[StreamStart, ...]
+
+
+class OriginRequest(_Message, frozen=True):
+    """Question where a stream began.
+
+    :ivar pool: pool in which the stream would go on.
+    """
+
+    sender: str
+    key: bytes
+    pool: str
+
+
+class OriginReply(_Message, frozen=True):
+    """Reply to :class:`OriginRequest`.
+
+    :ivar start: start of the stream; None if the sender does not know it.
+    :ivar versions: versions that the targets of the pool have had lately.
+    """
+
+    sender: str
+    key: bytes
+    start: StreamStart | None
+    versions: tuple[str, ...]
+
+
+Message = (
+    Report
+    | Grant
+    | Gossip
+    | ConfigRequest
+    | ConfigReply
+    | LoadMessage
+    | TableNews
+    | StreamStarts
+    | OriginRequest
+    | OriginReply
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/parsleyrudder/parsleyrudder/outcomes.py
+++ b/packages/parsleyrudder/parsleyrudder/outcomes.py
@@ -62,6 +62,8 @@
     FailureKind("no_server", 503, _NOT_RUN, "repeat after the time in Retry-After"),
     FailureKind("quarantined", 503, _NOT_RUN, "send the prompt without the part that is named"),
     FailureKind("request_quarantined", 503, _NOT_RUN, "do not repeat the request unchanged"),
+    FailureKind("version_unavailable", 503, _NOT_RUN, "repeat later, or begin the stream anew"),
+    FailureKind("origin_unknown", 503, _NOT_RUN, "begin the stream anew, without Last-Event-Id"),
     FailureKind("cut_off", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("draining", 503, _NOT_RUN, "ask for the addresses again and use another router"),
     FailureKind("not_ready", 503, _NOT_RUN, "use another router"),
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -4,12 +4,15 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from parsleyrudder import (
     Decision,
     Failure,
     Organisation,
     Route,
+    RouteKind,
+    StreamStart,
     Suspect,
     SuspectKind,
     WaitingRequest,
@@ -18,10 +21,10 @@
 )
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.logs import log_event
-from parsleyrudder_adapters.request_reader import CallerRequest
 
 from .context import RelayContext, now
 from .dialect import DecodedRequest
+from .origin_task import OriginTask
 from .pools import Pools
 from .relay_call import RelayCall
 
@@ -29,30 +32,65 @@
 
 _LOGGER = logging.getLogger(__name__)
 _RETRY_AFTER_S = 0.3
+_UNKNOWN_ORIGIN_RETRY_AFTER_S = 1.0
 # Range of the time after which callers of an overloaded router may return; spread, so that they do
 # not return at the same moment.
 _OVERLOAD_RETRY_AFTER_S = (0.5, 1.5)
 
 
+@dataclass(slots=True, frozen=True)
+class _AcceptedRequest:
+    """A request that is to be relayed.
+
+    :ivar organisation: name of the caller's organisation, or an empty string.
+    :ivar at: time of its arrival.
+    """
+
+    exchange: CallerExchange
+    request: DecodedRequest
+    route: Route
+    organisation: str
+    at: float
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller has a part of the stream, and asks for the rest."""
+        return self.request.last_event_id is not None and self._is_resumable
+
+    @property
+    def stream_id(self) -> str:
+        """Id by which the caller can take the stream up, or an empty string."""
+        if not self._is_resumable:
+            return ""
+        return (self.request.resumes if self.is_take_up else None) or self.request.id
+
+    @property
+    def _is_resumable(self) -> bool:
+        return self.route.kind is RouteKind.STREAM and self.route.is_resumable
+
+
 class RelayApi:
     """Handler of the callers' requests; see :class:`RequestHandler`.
 
+    :param origins: knows where streams began that callers take up.
     :param request_refusal: returns why this router accepts no requests now, or None if it does.
     """
 
     def __init__(
         self,
         context: RelayContext,
+        origins: OriginTask,
         rng: random.Random,
         request_refusal: Callable[[], Failure | None],
     ) -> None:
         self._context = context
+        self._origins = origins
         self._rng = rng
         self._request_refusal = request_refusal
         self._id_counter = itertools.count()
         self._call_by_id: dict[str, RelayCall] = {}
         self._max_timeout_by_route: dict[str, float] = {}
-        self.pools = Pools(context, self._on_decision)
+        self.pools = Pools(context, origins, self._on_decision)
 
     @property
     def active_calls(self) -> int:
@@ -84,8 +122,35 @@
             refusal = failure("overloaded", "too many requests for this router", retry_after_s)
             self._refuse(exchange, refusal, request)
             return
-        pool = self.pools.get(route.select_pool(self._rng.random()))
-        at = now()
+        name = organisation.name if organisation else ""
+        accepted = _AcceptedRequest(exchange, request, route, name, now())
+        pool = route.select_pool(self._rng.random())
+        if accepted.is_take_up:
+            self._origins.find(
+                request.resumes, pool, lambda start: self._take_up(accepted, pool, start)
+            )
+        else:
+            self._relay(accepted, pool, required_version=None)
+
+    def _take_up(self, accepted: "_AcceptedRequest", pool: str, start: StreamStart | None) -> None:
+        """Relay a request that takes a stream up, now that it is known where the stream began."""
+        if accepted.exchange.is_gone():
+            return
+        if start is None:
+            text = "it is not known which software version began the stream"
+            refusal = failure("origin_unknown", text, _UNKNOWN_ORIGIN_RETRY_AFTER_S)
+            self._refuse(accepted.exchange, refusal, accepted.request)
+        elif start.pool in accepted.route.weight_by_pool:
+            self._relay(accepted, start.pool, start.version)
+        else:
+            # The route has moved to another pool, whose versions are not comparable.
+            self._relay(accepted, pool, required_version=None)
+
+    def _relay(
+        self, accepted: "_AcceptedRequest", pool_name: str, required_version: str | None
+    ) -> None:
+        request, route = accepted.request, accepted.route
+        pool = self.pools.get(pool_name)
         timeout_s = route.timeout_s
         elapsed_s = 0.0
         if request.timeout_s is not None:
@@ -95,22 +160,28 @@
             # difference to the longest timeout seen on this route is the time already elapsed.
             elapsed_s = max_timeout_s - request.timeout_s
             timeout_s = min(timeout_s, request.timeout_s)
-        digest = _digest(exchange.request, request, organisation)
+        due_s = route.target_latency_s - elapsed_s
+        if accepted.is_take_up:
+            # The caller has its first event, and waits for the next one.
+            due_s = route.target_event_interval_s
+        digest = _digest(accepted)
         waiting_request = WaitingRequest(
             id=str(next(self._id_counter)),
-            organisation=organisation.name if organisation else "",
+            organisation=accepted.organisation,
             size=request.size,
-            arrived_at=at,
-            response_due_at=at + route.target_latency_s - elapsed_s,
-            deadline=at + timeout_s,
+            arrived_at=accepted.at,
+            response_due_at=accepted.at + due_s,
+            deadline=accepted.at + timeout_s,
             digest=digest,
             suspects=_suspects(pool.name, digest, request),
+            stream_id=accepted.stream_id,
+            required_version=required_version,
         )
         call = RelayCall(
             self._context,
             self.pools,
             pool,
-            exchange,
+            accepted.exchange,
             request,
             route,
             waiting_request,
@@ -174,14 +245,13 @@
         self._call_by_id.pop(call.id, None)
 
 
-def _digest(
-    received: CallerRequest, request: DecodedRequest, organisation: Organisation | None
-) -> str:
+def _digest(accepted: "_AcceptedRequest") -> str:
+    received = accepted.exchange.request
     return repeat_digest(
         received.method,
-        request.host,
+        accepted.request.host,
         received.target,
-        organisation.name if organisation else "",
+        accepted.organisation,
         received.body,
     )
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -38,6 +38,7 @@
 from .api import RelayApi
 from .context import RelayContext, now
 from .dialect import Dialect, StoreDecoder
+from .origin_task import OriginTask
 from .peers_task import PeersTask
 from .settings import RelaySettings
 from .state_report import StateReport
@@ -140,6 +141,8 @@
             text = f"can't listen on {settings.peers}: {error}"
             raise SettingsError(text, _ADDRESS_REMEDY) from error
         self.peers.link = self._link
+        self.origins = OriginTask(self.context)
+        self.origins.link = self._link
         self._watch_by_table = {
             decoder.config_table: TableWatch(
                 feed,
@@ -161,7 +164,7 @@
                 self._on_target_changes,
             ),
         }
-        self.api = RelayApi(self.context, rng, self._request_refusal)
+        self.api = RelayApi(self.context, self.origins, rng, self._request_refusal)
         self._http_server = self._listen(settings.callers, self.api)
         self._state_report = StateReport(self.context, self.api, self._http_server, poller)
         self._endpoint_servers = [
@@ -216,6 +219,7 @@
         for watch in self._watch_by_table.values():
             watch.start()
         self.peers.start()
+        self.origins.start()
         self._check_expiry()
         self._state_report.start()
 
@@ -236,6 +240,7 @@
         self.context.is_stopping = True
         log_event(_LOGGER, "relay_stopping", requests=self.api.active_calls)
         self.peers.announce_leaving()
+        self.origins.hand_over()
         self.peers.unregister()
         self.context.timers.after(_ACCEPT_AFTER_STOP_S, self._stop_accepting)
 
@@ -273,6 +278,7 @@
     def _on_message(self, message: Message) -> None:
         if not isinstance(message, TableNews):
             self.peers.on_message(message)
+            self.origins.on_message(message)
         elif message.table in self._watch_by_table:
             self._watch_by_table[message.table].on_news(message)
 
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -0,0 +1,218 @@
+"""Exchange between routers of which software version began a stream; see :class:`StreamOrigins`."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from parsleyrudder import (
+    HashRing,
+    Message,
+    OriginInquiry,
+    OriginReply,
+    OriginRequest,
+    StreamOrigins,
+    StreamStart,
+    StreamStarts,
+    VersionHistory,
+    stream_key,
+)
+from parsleyrudder_adapters.logs import log_event
+from parsleyrudder_adapters.peers import PeerLink
+
+from .context import RelayContext, now
+
+__all__ = ["OriginTask"]
+
+_LOGGER = logging.getLogger(__name__)
+# Routers that are told of a stream, besides the one that began it.
+_HOLDER_COUNT = 2
+# Routers that are asked for a stream: more than the holders, since the routers on the ring may have
+# changed after it began.
+_ASKED_COUNT = 8
+_REPLY_TIMEOUT_S = 0.3
+_REFRESH_INTERVAL_S = 0.25
+# Age up to which streams are told to the routers that become their holders.
+_RETOLD_AGE_S = 30.0
+
+OriginCallback = Callable[[StreamStart | None], None]
+
+
+class OriginTask:
+    """Tells other routers of the streams that this one begins, and asks them for others.
+
+    :ivar link: connection to the other routers; set before the start.
+    """
+
+    def __init__(self, context: RelayContext) -> None:
+        self._context = context
+        self._origins = StreamOrigins()
+        self._versions = VersionHistory()
+        self._ring = HashRing([context.view.own_info.name])
+        self._incarnation_by_name: dict[str, int] = {}
+        self._inquiry_by_key: dict[bytes, OriginInquiry] = {}
+        self._callbacks_by_key: dict[bytes, list[OriginCallback]] = defaultdict(list)
+        self.link: PeerLink | None = None
+
+    def start(self) -> None:
+        """Start to follow the versions and the routers."""
+        self._context.timers.after(_REFRESH_INTERVAL_S, self.start)
+        self.refresh_versions()
+        self._refresh_ring()
+        self._origins.expire(now())
+
+    def refresh_versions(self) -> None:
+        """Learn the versions of the current targets, and tell of streams that may now be mixed."""
+        at = now()
+        self._versions.record(self._context.targets.by_id.values(), at)
+        self._tell(self._origins.take_unsent(self._mixed_pools(at)))
+
+    def record_began(self, request: str, pool: str, version: str) -> None:
+        """Record that a stream of this router has brought its first event.
+
+        :param request: id of the request that the caller will name when it takes the stream up.
+        """
+        at = now()
+        self._origins.record_own(StreamStart(stream_key(request), pool, version), at)
+        if self._versions.is_mixed(pool, at):
+            self._tell(self._origins.take_unsent({pool}))
+
+    def hand_over(self) -> None:
+        """Tell other routers of all streams that this one knows, before it stops."""
+        self._tell(self._origins.starts_in(self._mixed_pools(now())))
+
+    def find(self, request: str | None, pool: str, callback: OriginCallback) -> None:
+        """Find out which version began a stream.
+
+        :param request: id of the request that brought its first event; None if it is not given.
+        :param pool: pool in which the stream would go on.
+        :param callback: called once, with None if the version is unknown.
+        """
+        key = stream_key(request) if request else b""
+        start = self._origins.find(key)
+        if start is not None:
+            self._count("local")
+            callback(start)
+            return
+        self._callbacks_by_key[key].append(callback)
+        if key not in self._inquiry_by_key:
+            self._begin_inquiry(key, pool)
+
+    def on_message(self, message: Message) -> None:
+        """Handle a message from another router."""
+        if isinstance(message, StreamStarts):
+            self._origins.record_reported(message.starts, now())
+        elif isinstance(message, OriginRequest):
+            self._reply(message)
+        elif isinstance(message, OriginReply):
+            self._on_reply(message)
+
+    def _refresh_ring(self) -> None:
+        """Adopt the routers that are active now, and tell new holders of recent streams."""
+        view, at = self._context.view, now()
+        names = {view.own_info.name, *view.active_routers(at)}
+        infos = [info for info in map(view.info, names) if info is not None]
+        incarnation_by_name = {info.name: info.incarnation for info in infos}
+        if incarnation_by_name == self._incarnation_by_name:
+            return
+        known_before = set(self._incarnation_by_name.items())
+        self._incarnation_by_name = incarnation_by_name
+        # A router that has started again has lost what it was told.
+        fresh = {name for name, _ in incarnation_by_name.items() - known_before}
+        old_ring, self._ring = self._ring, HashRing(names)
+        starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
+        for start in self._origins.own_starts_since(self._mixed_pools(at), at - _RETOLD_AGE_S):
+            told = set(self._others(old_ring, start.key, _HOLDER_COUNT)) - fresh
+            for name in self._others(self._ring, start.key, _HOLDER_COUNT):
+                if name not in told:
+                    starts_by_holder[name].append(start)
+        self._send_starts(starts_by_holder)
+
+    def _mixed_pools(self, at: float) -> set[str]:
+        return {pool for pool in self._versions.pools() if self._versions.is_mixed(pool, at)}
+
+    def _tell(self, starts: Iterable[StreamStart]) -> None:
+        starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
+        for start in starts:
+            for name in self._others(self._ring, start.key, _HOLDER_COUNT):
+                starts_by_holder[name].append(start)
+        self._send_starts(starts_by_holder)
+
+    def _send_starts(self, starts_by_holder: dict[str, list[StreamStart]]) -> None:
+        for name, starts in starts_by_holder.items():
+            self._send(name, StreamStarts(tuple(starts)))
+
+    def _others(self, ring: HashRing, key: bytes, count: int) -> list[str]:
+        own = self._context.view.own_info.name
+        return [name for name in ring.successors(key, count + 1) if name != own][:count]
+
+    def _begin_inquiry(self, key: bytes, pool: str) -> None:
+        versions = self._versions.versions(pool, now())
+        inquiry = self._inquiry_by_key[key] = OriginInquiry(key, pool, set(), versions)
+        if not key:
+            self._settle(inquiry)
+            return
+        self._refresh_ring()
+        if len(self._ring.names) > 1:
+            self._ask(inquiry)
+        else:
+            # A router that has just started may not have found the others yet.
+            self._context.timers.after(_REPLY_TIMEOUT_S, lambda: self._ask(inquiry))
+
+    def _ask(self, inquiry: OriginInquiry) -> None:
+        inquiry.asked.update(self._others(self._ring, inquiry.key, _ASKED_COUNT))
+        if inquiry.is_settled:
+            self._settle(inquiry)
+            return
+        own = self._context.view.own_info.name
+        for name in sorted(inquiry.asked):
+            self._send(name, OriginRequest(own, inquiry.key, inquiry.pool))
+        self._context.timers.after(_REPLY_TIMEOUT_S, lambda: self._settle(inquiry))
+
+    def _reply(self, request: OriginRequest) -> None:
+        versions = tuple(sorted(self._versions.versions(request.pool, now())))
+        start = self._origins.find(request.key)
+        own = self._context.view.own_info.name
+        self._send(request.sender, OriginReply(own, request.key, start, versions))
+
+    def _on_reply(self, reply: OriginReply) -> None:
+        inquiry = self._inquiry_by_key.get(reply.key)
+        if inquiry is not None:
+            inquiry.record_reply(reply)
+            if inquiry.is_settled:
+                self._settle(inquiry)
+
+    def _settle(self, inquiry: OriginInquiry) -> None:
+        """Report the result of an inquiry; does nothing if it has already been reported."""
+        if self._inquiry_by_key.get(inquiry.key) is not inquiry:
+            return
+        del self._inquiry_by_key[inquiry.key]
+        start = inquiry.result(self._is_current())
+        if inquiry.start is not None:
+            self._origins.record_reported([inquiry.start], now())
+        self._count("told" if inquiry.start else "inferred" if start else "unknown")
+        if start is None:
+            log_event(
+                _LOGGER,
+                "stream_origin_unknown",
+                logging.WARNING,
+                stream=inquiry.key.hex() or None,
+                pool=inquiry.pool,
+                versions=",".join(sorted(inquiry.versions)),
+                unanswered=",".join(sorted(inquiry.asked)) or None,
+                routers=len(self._ring.names),
+            )
+        for callback in self._callbacks_by_key.pop(inquiry.key):
+            callback(start)
+
+    def _is_current(self) -> bool:
+        """Whether this router is in contact with the store, and so knows all versions."""
+        context = self._context
+        return context.active_config.age_s(now()) < context.settings.bounds.apply_s
+
+    def _count(self, origin: str) -> None:
+        self._context.metrics.count("streams_taken_up", origin=origin)
+
+    def _send(self, name: str, message: Message) -> None:
+        info = self._context.view.info(name)
+        if info is not None and self.link is not None:
+            self.link.send(info.peer_address, message)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -16,11 +16,13 @@
 )
 
 from .context import RelayContext, now
+from .origin_task import OriginTask
 from .send_listeners import (
     CrashListener,
     HealthListener,
     LoadListener,
     MetricsListener,
+    OriginListener,
     RateLimitListener,
     RetryBudgetListener,
     UsageListener,
@@ -64,8 +66,14 @@
     :param on_decision: called with each decision about a queued request.
     """
 
-    def __init__(self, context: RelayContext, on_decision: Callable[[Decision], None]) -> None:
+    def __init__(
+        self,
+        context: RelayContext,
+        origins: OriginTask,
+        on_decision: Callable[[Decision], None],
+    ) -> None:
         self._context = context
+        self._origins = origins
         self._on_decision = on_decision
         self._by_name: dict[str, Pool] = {}
         self._is_polling = False
@@ -98,6 +106,7 @@
         self._context.prompt_cache.retain(lifetimes)
         self._context.crash_suspects.retain(lifetimes)
         self._context.rate_limits.retain(lifetimes)
+        self._origins.refresh_versions()
         self._update_capacity()
         self.poll()
 
@@ -146,6 +155,7 @@
             UsageListener(admission),
             RetryBudgetListener(retry_budget),
             HealthListener(health),
+            OriginListener(self._origins, name),
             MetricsListener(context.metrics, name),
         )
         return Pool(name, admission, health, retry_budget, send_listeners)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -192,6 +192,7 @@
             self._record_response_start()
             self._sends.answered(now())
             self._relayed_request.head_relayed = True
+            self._require_version()
             self._response.write(events, self.context.timers)
         if self._event_filter.error:
             self._abandon_attempt(SendEnd.BROKEN, self._event_filter.error)
@@ -247,6 +248,9 @@
             self._finish("caller_left")
             return
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
+        if self._relayed_request.head_relayed:
+            route = self._relayed_request.route
+            self.waiting_request.response_due_at = now() + route.target_event_interval_s
         if self._may_retry(end) and self._claim_retry():
             self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         elif self._failed_response is not None and not self._relayed_request.head_relayed:
@@ -289,6 +293,11 @@
             self._trace.record_response_start(send.target.version, now())
             self._pools.ensure_polling()
 
+    def _require_version(self) -> None:
+        """Let the stream go on only at the version of the target that events have come from."""
+        if self._attempt is not None:
+            self.waiting_request.required_version = self._attempt.target.version
+
     def _end_attempt(self, end: SendEnd | None, is_failure: bool | None) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
@@ -14,6 +14,7 @@
 from parsleyrudder_adapters.logs import log_event
 
 from ..metrics import Metrics
+from .origin_task import OriginTask
 from .sends import Send, SendListener, SendResult
 
 __all__ = [
@@ -21,6 +22,7 @@
     "HealthListener",
     "LoadListener",
     "MetricsListener",
+    "OriginListener",
     "RateLimitListener",
     "RetryBudgetListener",
     "UsageListener",
@@ -140,6 +142,19 @@
             self._budget.on_request(at)
 
 
+class OriginListener(SendListener):
+    """Records where streams begin, for callers that take them up later."""
+
+    def __init__(self, origins: OriginTask, pool: str) -> None:
+        self._origins = origins
+        self._pool = pool
+
+    def on_answer(self, send: Send, at: float) -> None:
+        """See :class:`SendListener`."""
+        if send.request.stream_id:
+            self._origins.record_began(send.request.stream_id, self._pool, send.target.version)
+
+
 class MetricsListener(SendListener):
     """Counts failed sends and measures the time until responses begin."""
 
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -0,0 +1,154 @@
+"""Routers that tell each other where streams began, over a network that delivers at once."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from parsleyrudder import RouterInfo, Target
+from parsleyrudder.messages import encode_message
+from parsleyrudder_daemon.metrics import Metrics
+from parsleyrudder_daemon.relay import origin_task
+from parsleyrudder_daemon.relay.origin_task import OriginTask
+
+MIXED = ("v1", "v2")
+
+
+class Network:
+    """Routers by name, created when they are needed; messages to dead ones are lost."""
+
+    def __init__(self, monkeypatch, router_count, versions):
+        self.now = 1000.0
+        self.versions = versions
+        self.names = [f"r{number}" for number in range(router_count)]
+        self.dead: set[str] = set()
+        self.task_by_name: dict[str, OriginTask] = {}
+        self.timers: list[Any] = []
+        self.sent: list[tuple[str, int]] = []
+        monkeypatch.setattr(origin_task, "now", lambda: self.now)
+
+    def __getitem__(self, name):
+        if name not in self.task_by_name:
+            task = self.task_by_name[name] = OriginTask(self._context(name))
+            task.link = SimpleNamespace(send=self._send)  # type: ignore[assignment]
+            task.start()
+        return self.task_by_name[name]
+
+    def refresh(self):
+        for task in list(self.task_by_name.values()):
+            task.start()
+
+    def restart(self, name):
+        del self.task_by_name[name]
+
+    def advance(self, seconds):
+        self.now += seconds
+        due, self.timers = self.timers, []
+        for callback in due:
+            callback()
+
+    def find(self, name, request):
+        """Return the version that a router finds for a stream; None if it finds none."""
+        found: list[Any] = []
+        self[name].find(request, "p", found.append)
+        if not found:
+            self.advance(0.5)
+        assert len(found) == 1
+        return found[0].version if found[0] else None
+
+    def _send(self, address, message):
+        self.sent.append((type(message).__name__, len(encode_message(message))))
+        if address not in self.dead:
+            self[address].on_message(message)
+
+    def _context(self, name) -> Any:
+        info_by_name = {n: RouterInfo(n, 1, "a", n, n) for n in self.names}
+        view = SimpleNamespace(
+            own_info=info_by_name[name],
+            active_routers=lambda at: [n for n in self.names if n not in self.dead],
+            info=info_by_name.get,
+        )
+        targets = {v: Target(v, "p", "10.0.0.1:1", "a", 4, version=v) for v in self.versions}
+        return SimpleNamespace(
+            view=view,
+            metrics=Metrics(),
+            targets=SimpleNamespace(by_id=targets),
+            active_config=SimpleNamespace(age_s=lambda at: 0.0),
+            settings=SimpleNamespace(bounds=SimpleNamespace(apply_s=2.0)),
+            timers=SimpleNamespace(
+                after=lambda delay_s, callback: (
+                    self.timers.append(callback) if callback.__name__ != "start" else None
+                )
+            ),
+        )
+
+
+@pytest.mark.parametrize("router_count", [2, 7, 70, 1200])
+def test_a_stream_is_known_at_every_router_at_a_cost_that_does_not_grow(monkeypatch, router_count):
+    network = Network(monkeypatch, router_count, MIXED)
+    rng = random.Random(1)
+    for number in range(5):
+        network["r0"].record_began(f"s{number}", "p", MIXED[number % 2])
+    told = [size for name, size in network.sent if name == "StreamStarts"]
+    assert len(told) <= 2 * 5
+    assert max(told) <= 40
+    network.sent.clear()
+    for number in range(5):
+        name = rng.choice(network.names[1:])
+        assert network.find(name, f"s{number}") == MIXED[number % 2]
+    assert len(network.sent) <= 2 * 8 * 5
+
+
+@pytest.mark.parametrize(("router_count", "dead_count"), [(4, 1), (7, 1), (7, 2), (70, 1), (70, 5)])
+def test_a_stream_is_known_after_the_router_that_began_it_is_gone(
+    monkeypatch, router_count, dead_count
+):
+    """Its other holders may be among the dead; then, and only then, the version is unknown."""
+    network = Network(monkeypatch, router_count, MIXED)
+    for number in range(40):
+        network["r0"].record_began(f"s{number}", "p", MIXED[number % 2])
+    network.dead = {f"r{number}" for number in range(dead_count)}
+    network.refresh()
+    found = [network.find(f"r{dead_count + number % 2}", f"s{number}") for number in range(40)]
+    wrong = [f for n, f in enumerate(found) if f not in (MIXED[n % 2], None)]
+    assert wrong == []
+    assert found.count(None) <= (0 if dead_count == 1 else 6)
+
+
+def test_a_holder_that_stops_hands_over_what_it_knows(monkeypatch):
+    """Guards against the loss of all records in a series of restarts."""
+    network = Network(monkeypatch, 7, MIXED)
+    for number in range(20):
+        network["r0"].record_began(f"s{number}", "p", "v1")
+    for name in network.names:
+        network[name].hand_over()
+        network.restart(name)
+    assert [network.find("r3", f"s{number}") for number in range(20)] == ["v1"] * 20
+
+
+def test_nothing_is_told_while_one_version_serves_and_all_once_there_are_two(monkeypatch):
+    network = Network(monkeypatch, 7, ("v1",))
+    for number in range(20):
+        network["r0"].record_began(f"s{number}", "p", "v1")
+    assert network.sent == []
+    assert network.find("r1", "s0") == "v1"
+    network.sent.clear()
+    for context in (task._context for task in network.task_by_name.values()):
+        context.targets.by_id["v2"] = Target("v2", "p", "10.0.0.1:1", "a", 4, version="v2")
+    network.refresh()
+    assert 0 < len(network.sent) <= 6
+    network.dead = {"r0"}
+    network.refresh()
+    assert [network.find("r2", f"s{number}") for number in range(20)] == ["v1"] * 20
+
+
+def test_two_callers_that_take_up_one_stream_at_once_are_both_served(monkeypatch):
+    network = Network(monkeypatch, 4, MIXED)
+    network["r0"].record_began("s", "p", "v1")
+    network.dead = {"r0", "r1", "r2"}
+    found: list[Any] = []
+    network["r3"].find("unknown", "p", found.append)
+    network["r3"].find("unknown", "p", found.append)
+    assert found == []
+    network.advance(0.5)
+    assert found == [None, None]
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
@@ -45,6 +45,7 @@
         load_shedder=shedder,
         metrics=Metrics(),
     )
+    origins: Any = SimpleNamespace()
     begun: list[str] = []
 
     class Call:
@@ -55,7 +56,7 @@
             begun.append(self.id)
 
     monkeypatch.setattr(relay_api, "RelayCall", Call)
-    api = RelayApi(context, random.Random(1), lambda: None)
+    api = RelayApi(context, origins, random.Random(1), lambda: None)
     monkeypatch.setattr(api.pools, "get", lambda name: SimpleNamespace(name=name))
     return api, dialect, begun
 
