Do not trust connections that have been idle for long, or beside a silent one

Cause: an idle connection was reused until 0.6 of the server's stated idle timeout after a peek, which shows a close but no silence. Change: a request that may run only once reuses a connection that was used within 2 s, and opens a new one otherwise; when a request got no byte within 1 s, the connections to its server that have been idle since before it are closed.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -24,6 +24,8 @@
 
 _RECV_BYTES = 65536
 _MAX_IDLE_PER_ADDRESS = 8
+# Time without a response after which other idle connections to the same server are not trusted.
+_SILENCE_S = 1.0
 # Bytes that a server may send before a response, as informational and late other responses.
 _MAX_IGNORED_BYTES = 262144
 
@@ -66,7 +68,7 @@
         :param timeout_s: time within which the exchange must complete; None for no limit.
         """
         exchange = Exchange(self, request, listener)
-        connection = self._pop_idle(address) if request.reuse else None
+        connection = self._pop_idle(address, request.max_idle_s) if request.reuse else None
         try:
             if connection is None:
                 connection = self._connect(address)
@@ -79,6 +81,7 @@
             self._timers.after(0.0, lambda: self._fail(exchange, reason))
             return exchange
         connection.exchange = exchange
+        connection.used_at = time.monotonic()
         connection.ignored_bytes = 0
         connection.has_response_started = False
         exchange.connection = connection
@@ -100,9 +103,13 @@
         """Close the connection of an exchange."""
         if exchange.timer is not None:
             exchange.timer.cancel()
-        if exchange.connection is not None:
-            self._close(exchange.connection)
-            exchange.connection = None
+        connection, exchange.connection = exchange.connection, None
+        if connection is None:
+            return
+        self._close(connection)
+        waited_s = time.monotonic() - connection.used_at
+        if exchange.sent and not connection.has_response_started and waited_s >= _SILENCE_S:
+            self._close_idle_since(connection.address, connection.used_at)
 
     def set_reading(self, exchange: Exchange, reading: bool) -> None:
         """Start or stop reading from the server."""
@@ -115,10 +122,20 @@
             for connection in list(connections):
                 self._close(connection)
 
-    def _pop_idle(self, address: str) -> Connection | None:
+    def _close_idle_since(self, address: str, at: float) -> None:
+        """Close the connections to a server that have been idle since a time.
+
+        They may have gone silent together with one that got no response since then.
+        """
+        for connection in list(self._idle_by_address.get(address, ())):
+            if connection.used_at <= at:
+                self._close(connection)
+
+    def _pop_idle(self, address: str, max_idle_s: float) -> Connection | None:
         """Return an idle connection that the server is not known to have closed."""
         idle = self._idle_by_address.get(address)
-        while idle:
+        # The last one is the one that was used last.
+        while idle and time.monotonic() - idle[-1].used_at <= max_idle_s:
             connection = idle.pop()
             if time.monotonic() >= connection.idle_until:
                 self._close(connection)
@@ -326,6 +343,7 @@
             self._close(connection)
             return
         self._set_interest(connection, reading=True)
+        connection.used_at = time.monotonic()
         idle.append(connection)
 
     def _fail_connection(self, connection: Connection, reason: str) -> None:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
@@ -71,6 +71,7 @@
     :ivar is_skipping_response: whether the current response belongs to an earlier request.
     :ivar has_response_started: whether the head of the response has been received.
     :ivar ignored_bytes: bytes received since the request and before the head of its response.
+    :ivar used_at: time at which a request was last sent or a response last completed.
     :ivar idle_until: time until which another request may reuse the connection.
     """
 
@@ -84,6 +85,7 @@
     is_skipping_response: bool = False
     has_response_started: bool = False
     ignored_bytes: int = 0
+    used_at: float = 0.0
     idle_until: float = math.inf
     timer: Timer | None = None
     reading: bool = False
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -21,6 +21,8 @@
 
     :ivar reuse: whether an idle connection may be used. The server may have closed it, which may
         show only after the request was sent, so set this only if the request may be repeated.
+    :ivar max_idle_s: maximum time for which a reused connection may have been idle; it may have
+        gone silent since, which only the lack of a response shows.
     :ivar may_send: called just before the first byte is sent; if it returns False, the request
         fails without having been sent.
     :ivar accepts_response: called with status and headers of each response; if it returns False,
@@ -32,6 +34,7 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     reuse: bool = False
+    max_idle_s: float = math.inf
     may_send: Callable[[], bool] | None = None
     accepts_response: Callable[[int, list[tuple[str, str]]], bool] | None = None
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -1,6 +1,7 @@
 """Course of one caller's request: admission, attempts at targets, response to the caller."""
 
 import logging
+import math
 from collections.abc import Callable
 
 from parsleyrudder import (
@@ -37,6 +38,9 @@
 _BUDGET_RETRY_INTERVAL_S = 0.2
 # A response that is not a stream is buffered in memory before it is relayed.
 _MAX_RESPONSE_BYTES = 8 << 20
+# A connection that has been idle for longer may have gone silent, and a request that may run only
+# once can't be sent to another target to find out.
+_MAX_IDLE_IF_RUN_ONCE_S = 2.0
 # Time before the deadline that is reserved for sending the response to the caller.
 _RESPONSE_MARGIN_S = 0.02
 
@@ -123,13 +127,14 @@
         attempt_info = AttemptInfo(
             target, remaining_s, self.waiting_request.organisation, self._event_filter.last_id
         )
-        caller = self._exchange.request
+        caller, route = self._exchange.request, self._relayed_request.route
         request = HttpRequest(
             caller.method,
             caller.target,
             self.context.dialect.headers_for_target(caller, attempt_info),
             caller.body,
             reuse=True,
+            max_idle_s=math.inf if route.is_idempotent else _MAX_IDLE_IF_RUN_ONCE_S,
             may_send=lambda: self._may_send(target),
             accepts_response=lambda status, headers: self.context.dialect.is_response_to(
                 self._request.id, status, headers
