Keep quarantines in the store

Change: the router that may try a suspect first writes a row when the quarantine begins and after each further crash, and removes it at the end; each router reads the rows once at its start. One read more a start, one write a quarantine, nothing in calm times.

--- a/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/crash_suspects.py
@@ -150,6 +150,10 @@
             if self._is_quarantined(suspect, suspicion, now)
         }
 
+    def describe(self, suspect: Suspect, now: float) -> SuspectCrashes:
+        """Return what this router knows of a suspect."""
+        return _encode(suspect, self._suspicion(suspect), now)
+
     def take_report(self, now: float) -> tuple[SuspectCrashes, ...]:
         """Return what to report to other routers: recent changes, and all quarantined suspects.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -37,9 +37,11 @@
 from ..handler_errors import HandlerErrorLogger
 from .api import RelayApi
 from .context import RelayContext, now
+from .crash_reports import CrashReports
 from .dialect import Dialect, StoreDecoder
 from .origin_task import OriginTask
 from .peers_task import PeersTask
+from .quarantine_store import QuarantineStore
 from .settings import RelaySettings
 from .state_report import StateReport
 from .table_watch import TableWatch, WatchRules
@@ -134,7 +136,9 @@
         poller.on_turn = self.context.load_shedder.record_turn
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.response_timeout_s)
-        self.peers = PeersTask(self.context, feed, decoder.router_table, rng)
+        quarantines = QuarantineStore(feed, timers, decoder.quarantine_table)
+        crash_reports = CrashReports(self.context, quarantines)
+        self.peers = PeersTask(self.context, feed, decoder.router_table, crash_reports, rng)
         try:
             self._link = PeerLink(settings.peers, None, self._on_message).register(self)
         except zmq.ZMQError as error:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
@@ -7,7 +7,8 @@
 from parsleyrudder import Suspect, SuspectCrashes, SuspectKind
 from parsleyrudder_adapters.logs import log_event
 
-from .context import RelayContext
+from .context import RelayContext, now
+from .quarantine_store import QuarantineStore
 
 __all__ = ["CrashReports"]
 
@@ -17,10 +18,15 @@
 class CrashReports:
     """Exchanges suspicions with other routers; see :class:`CrashSuspects`."""
 
-    def __init__(self, context: RelayContext) -> None:
+    def __init__(self, context: RelayContext, store: QuarantineStore) -> None:
         self._context = context
+        self._store = store
         self._quarantined: set[Suspect] = set()
 
+    def start(self) -> None:
+        """Read the quarantines from before this start."""
+        self._store.start(lambda reports: self.receive(reports, now()))
+
     def prepare(self, at: float) -> tuple[SuspectCrashes, ...]:
         """Return the report for the other routers, after confirming this router's own crashes."""
         suspects = self._context.crash_suspects
@@ -44,11 +50,20 @@
             self._log("quarantine_began", suspect, level=logging.WARNING)
         for suspect in sorted(self._quarantined - quarantined):
             self._log("quarantine_ended", suspect)
+            if self._is_responsible(suspect):
+                self._store.remove(suspect)
+        for suspect in quarantined:
+            if self._is_responsible(suspect):
+                self._store.save(suspect, self._context.crash_suspects.describe(suspect, at))
         self._quarantined = quarantined
         count_by_kind = Counter(suspect.kind for suspect in quarantined)
         for kind in SuspectKind:
             self._context.metrics.set_gauge(f"{kind}s_quarantined", count_by_kind[kind])
 
+    def _is_responsible(self, suspect: Suspect) -> bool:
+        """Whether this router is the one that keeps a quarantine in the store."""
+        return self._context.crash_suspects.trial_rank(suspect.id) == 0
+
     def _log(
         self,
         event: str,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -115,11 +115,13 @@
     :ivar config_table: table of the traffic configuration.
     :ivar target_table: table of the targets' entries.
     :ivar router_table: table in which the routers register to find each other.
+    :ivar quarantine_table: table in which the routers keep quarantines.
     """
 
     config_table: str
     target_table: str
     router_table: str
+    quarantine_table: str
 
     def decode_config(self, rows: list[Row]) -> TrafficConfig | None:
         """Return the configuration among the rows, or None if none of them holds one.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -22,6 +22,7 @@
 
 from .context import RelayContext, now
 from .crash_reports import CrashReports
+from .row_removal import log_failed_removal, remove_row
 
 __all__ = ["PeersTask"]
 
@@ -58,7 +59,12 @@
     """
 
     def __init__(
-        self, context: RelayContext, feed: FeedService, router_table: str, rng: random.Random
+        self,
+        context: RelayContext,
+        feed: FeedService,
+        router_table: str,
+        crash_reports: CrashReports,
+        rng: random.Random,
     ) -> None:
         self._context = context
         self._feed = feed
@@ -70,12 +76,13 @@
         self._is_registered = False
         self._row_first_seen_at: dict[tuple[str, int], float] = {}
         self._read_timer: Timer | None = None
-        self._crash_reports = CrashReports(context)
+        self._crash_reports = crash_reports
         self.link: PeerLink | None = None
         self.accepts_requests = False
 
     def start(self) -> None:
         """Start gossip, reports and registration."""
+        self._crash_reports.start()
         self._gossip()
         self._report()
         self._refresh()
@@ -91,17 +98,7 @@
 
     def unregister(self) -> None:
         """Remove this router's row."""
-        name = self._context.settings.name
-
-        def done(page: FeedPage | TableError) -> None:
-            if isinstance(page, TableError):
-                _log_failed_removal(page)
-                return
-            for row in page.rows:
-                if row.key == name:
-                    self._feed.remove(self._router_table, name, row.revision, _log_failed_removal)
-
-        self._feed.read(self._router_table, done)
+        remove_row(self._feed, self._router_table, self._context.settings.name)
 
     def routers_for_callers(self) -> list[RouterInfo]:
         """Return the routers that callers should use; at least one."""
@@ -313,10 +310,4 @@
         first_seen = self._row_first_seen_at.setdefault((info.name, info.incarnation), at)
         silence_s = self._context.view.silence_s(info.name, at)
         if silence_s > _DEAD_ROW_EXPIRY_S and at - first_seen > _DEAD_ROW_EXPIRY_S:
-            self._feed.remove(self._router_table, info.name, revision, _log_failed_removal)
-
-
-def _log_failed_removal(result: bool | TableError) -> None:
-    """Log a failed removal; it is not retried, because rows of dead routers do no harm."""
-    if isinstance(result, TableError):
-        log_event(_LOGGER, "row_not_removed", reason=result)
+            self._feed.remove(self._router_table, info.name, revision, log_failed_removal)
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/row_removal.py
@@ -0,0 +1,30 @@
+"""Removal of this fleet's own rows from the store."""
+
+import logging
+
+from parsleyrudder import FeedPage, FeedService, TableError
+from parsleyrudder_adapters.logs import log_event
+
+__all__ = ["log_failed_removal", "remove_row"]
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def remove_row(feed: FeedService, table: str, key: str) -> None:
+    """Remove a row, whatever its revision; a failure is only logged."""
+
+    def on_rows(page: FeedPage | TableError) -> None:
+        if isinstance(page, TableError):
+            log_failed_removal(page)
+            return
+        for row in page.rows:
+            if row.key == key:
+                feed.remove(table, key, row.revision, log_failed_removal)
+
+    feed.read(table, on_rows)
+
+
+def log_failed_removal(result: bool | TableError) -> None:
+    """Log a failed removal; it is not retried, because rows that are left over do no harm."""
+    if isinstance(result, TableError):
+        log_event(_LOGGER, "row_not_removed", reason=result)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -44,7 +44,8 @@
         usage=UsageLedger(),
     )
     store: Any = Store()
-    return PeersTask(context, store, "routers", random.Random(1)), context
+    reports: Any = SimpleNamespace()
+    return PeersTask(context, store, "routers", reports, random.Random(1)), context
 
 
 @pytest.mark.parametrize(("routers", "expected"), [(7, 1), (200, 200)])
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_quarantine_store.py
@@ -0,0 +1,91 @@
+"""Quarantines in a store that fails at times."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from parsleyrudder import FeedPage, Row, Suspect, SuspectCrashes, SuspectKind, TableError
+from parsleyrudder_daemon.relay.quarantine_store import QuarantineStore
+
+SUSPECT = Suspect("p", SuspectKind.REQUEST, "digest")
+
+
+def crashes(count):
+    ages_ms = {f"t{number}/1": 1000 * (count - number) for number in range(count)}
+    return SuspectCrashes("p", SuspectKind.REQUEST, "digest", ages_ms)
+
+
+class Feed:
+    """A table in memory; the next calls fail as often as ``failures`` says."""
+
+    def __init__(self, failures=0):
+        self.failures = failures
+        self.rows: dict[str, Row] = {}
+        self.puts = 0
+
+    def _fails(self):
+        self.failures -= 1
+        return self.failures >= 0
+
+    def read(self, table, done):
+        if self._fails():
+            done(TableError("away", "retry"))
+        else:
+            done(FeedPage(list(self.rows.values()), {}, 1, 0.0))
+
+    def put(self, table, key, value, done):
+        self.puts += 1
+        if self._fails():
+            done(TableError("away", "retry"))
+        else:
+            self.rows[key] = Row(key, value, 1)
+            done(True)
+
+    def remove(self, table, key, revision, done):
+        done(self.rows.pop(key, None) is not None)
+
+
+def start(feed):
+    """Return a store that has read the table, and what it has read."""
+    timers: Any = SimpleNamespace(after=lambda delay_s, callback: callback())
+    store = QuarantineStore(feed, timers, "quarantines")
+    read: list[SuspectCrashes] = []
+    store.start(read.extend)
+    return store, read
+
+
+@pytest.mark.parametrize("failures", [0, 3])
+def test_a_quarantine_is_read_after_a_restart_until_it_is_removed(failures):
+    feed = Feed()
+    store, _ = start(feed)
+    store.save(SUSPECT, crashes(3))
+    feed.failures = failures
+    _, [read] = start(feed)
+    assert (read.pool, read.kind, read.id) == SUSPECT
+    assert read.crash_age_ms_by_lifetime == pytest.approx(
+        crashes(3).crash_age_ms_by_lifetime, abs=200
+    )
+    store.remove(SUSPECT)
+    assert start(feed)[1] == []
+
+
+def test_a_quarantine_is_written_again_only_after_a_failure_or_a_further_crash():
+    """Guards against a write to the store in each report interval."""
+    feed = Feed()
+    store, _ = start(feed)
+    feed.failures = 1
+    for _ in range(5):
+        store.save(SUSPECT, crashes(3))
+    assert feed.puts == 2
+    for _ in range(5):
+        store.save(SUSPECT, crashes(4))
+    assert feed.puts == 3
+    restarted, _ = start(feed)
+    restarted.save(SUSPECT, crashes(4))
+    assert feed.puts == 3
+
+
+def test_a_foreign_row_is_ignored():
+    feed = Feed()
+    feed.rows["x"] = Row("x", b"\xc1", 1)
+    assert start(feed)[1] == []
