Send no earlier failure after a stream that broke off

Two other places looked. All three now use one method. The test timed out before, on a connection that had two responses.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -110,8 +110,7 @@
             self._refuse(decision)
 
     def _refuse(self, refused: Refused) -> None:
-        if self._failed_response is not None:
-            self._send_response(self._failed_response, "passed_on")
+        if self._pass_on_failure():
             return
         reason = failure(refused.code, refused.reason, refused.retry_after_s)
         if self._relayed_request.may_have_run:
@@ -258,9 +257,7 @@
             self.waiting_request.response_due_at = now() + route.target_event_interval_s
         if self._may_retry(end) and self._claim_retry():
             self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
-        elif self._failed_response is not None and not self._relayed_request.head_relayed:
-            self._send_response(self._failed_response, "passed_on")
-        else:
+        elif not self._pass_on_failure():
             text = f"the send to {attempt.target.id} ended {end}"
             self._fail(
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
@@ -352,8 +349,7 @@
         if self._attempt is not None:
             self._attempt.cancel()
             self._end_attempt(None, is_failure=None)
-        if self._failed_response is not None and not self._relayed_request.head_relayed:
-            self._send_response(self._failed_response, "passed_on")
+        if self._pass_on_failure():
             return
         retry_after_s = self.pool.admission.retry_after_s(now())
         self._fail(self._relayed_request.deadline_failure(in_flight, retry_after_s))
@@ -366,6 +362,13 @@
             self._end_attempt(None, is_failure=None)
         self._finish("caller_left")
 
+    def _pass_on_failure(self) -> bool:
+        """Send the response of a target that failed, unless another one has begun to respond."""
+        if self._failed_response is None or self._relayed_request.head_relayed:
+            return False
+        self._send_response(self._failed_response, "passed_on")
+        return True
+
     def _send_response(self, response: BufferedResponse, outcome: str) -> None:
         self._exchange.respond(response.head.status, bytes(response.body), response.head.headers)
         self._finish(outcome)
