--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
@@ -47,6 +47,8 @@
         self.attempt = attempt
         if not self._is_head_sent:
             self._head = head
+        if self._is_paused and attempt is not None and attempt.exchange is not None:
+            attempt.exchange.pause()
 
     def write(self, events: bytes, timers: Timers) -> None:
         """Relay complete events, and the head before the first of them."""
