Split messages and admission rules, and tell streams without a scan

A stream is told as it begins instead of being searched among up to 20,000 remembered ones; the search is left for the moment at which a pool becomes mixed. explain names the new outcomes, and a request's line has each version once. No other change of behaviour.

--- a/packages/parsleyctl/parsleyctl/explain.py
+++ b/packages/parsleyctl/parsleyctl/explain.py
@@ -23,6 +23,8 @@
         "feed_gap",
         "handler_failed",
         "log_lines_dropped",
+        "quarantine_began",
+        "quarantine_ended",
         "readiness_changed",
         "relay_started",
         "relay_stopped",
@@ -30,6 +32,7 @@
         "state",
         "store_back",
         "store_lost",
+        "stream_origin_unknown",
         "target_ejected",
     }
 )
@@ -46,6 +49,11 @@
     "not_ready": "the router had no configuration that was fresh enough",
     "cut_off": "the router had not heard of the store for too long to trust any key",
     "draining": "the router was stopping",
+    "overloaded": "the router limited the requests of each organisation",
+    "quarantined": "targets had crashed on a part of its prompt",
+    "request_quarantined": "targets had crashed on the same request before",
+    "version_unavailable": "no target ran the software version that began its stream",
+    "origin_unknown": "no router knew which software version had begun its stream",
     "bad_request": "it was not a proper request",
 }
 
--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -4,13 +4,14 @@
 serve in time, through several routers that each see only a part of the traffic.
 """
 
+from .admission_rules import AdmissionRules
 from .crash_evidence import Crash, Suspect
 from .crash_suspects import CrashSuspects, Quarantine
 from .decisions import Decision, Placed, Refused
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets, PromptVolume
-from .pool_admission import AdmissionRules, PoolAdmission
+from .pool_admission import PoolAdmission
 from .prompt_cache import PromptCacheIndex, TargetPromptCache
 from .rate_limits import TargetRateLimits
 from .repeat_digest import repeat_digest
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -13,6 +13,7 @@
 from ..membership import rendezvous
 from ..messages import SuspectKind
 from ..targets import Target
+from .admission_rules import AdmissionRules
 from .crash_suspects import CrashSuspects
 from .decisions import Decision, Placed, Refused
 from .loads import TargetLoads
@@ -22,7 +23,7 @@
 from .requests import RequestSize, WaitingRequest
 from .usage import UsageLedger
 
-__all__ = ["AdmissionRules", "PoolAdmission"]
+__all__ = ["PoolAdmission"]
 
 _NOT_IN_TIME = "no target can begin the request in time"
 # Bounds the targets evaluated in one poll, summed over all requests that the poll tries to place.
@@ -53,35 +54,6 @@
 _MAX_BUSY_FRACTION_FOR_LONG = 0.25
 
 
-@dataclass(slots=True, frozen=True)
-class AdmissionRules:
-    """Limits on what is sent to a target.
-
-    The limits depend on the usage of the requesting organisation: within its fair share, above it,
-    or also above its fair share of the observed usage ("excess").
-
-    :ivar slots_fraction: fraction of a target's slots that may be occupied.
-    :ivar max_prefill_wait_s: allowed time for the prefills that are pending at a target when a
-        prompt is sent to it.
-    :ivar latency_budget_fraction: fraction of the time left to a request within which its response
-        has to begin.
-    :ivar over_share_slots_fraction: as ``slots_fraction``, for an organisation above its share.
-    :ivar over_share_wait_factor: factor on the allowed wait for an organisation above its share.
-    :ivar excess_slots_fraction: as ``slots_fraction``, for an organisation that is also above its
-        fair share of the observed usage.
-    :ivar excess_wait_factor: as ``over_share_wait_factor``, for an organisation exactly at its fair
-        share of the observed usage; the factor decreases above that.
-    """
-
-    slots_fraction: float = 0.9
-    max_prefill_wait_s: float = 0.2
-    latency_budget_fraction: float = 0.8
-    over_share_slots_fraction: float = 0.7
-    over_share_wait_factor: float = 0.5
-    excess_slots_fraction: float = 0.5
-    excess_wait_factor: float = 0.25
-
-
 @dataclass(slots=True)
 class PoolAdmission:
     """Admission of the requests to one pool at one router.
--- a/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
@@ -49,14 +49,17 @@
     memory_s: float = 300.0
     _known_by_key: OrderedDict[bytes, _KnownStart] = field(default_factory=OrderedDict)
 
-    def record_own(self, start: StreamStart, now: float) -> None:
-        """Record a stream of this router that has brought its first event."""
-        self._record(start, now, is_own=True)
+    def record_own(self, start: StreamStart, is_told: bool, now: float) -> None:
+        """Record a stream of this router that has brought its first event.
+
+        :param is_told: whether its holders are told at once.
+        """
+        self._record(_KnownStart(start, now, is_own=True, is_unsent=not is_told))
 
     def record_reported(self, starts: Iterable[StreamStart], now: float) -> None:
         """Record streams that other routers have begun."""
         for start in starts:
-            self._record(start, now, is_own=False)
+            self._record(_KnownStart(start, now, is_own=False, is_unsent=False))
 
     def find(self, key: bytes) -> StreamStart | None:
         """Return the start of a stream, or None if this router does not know it."""
@@ -94,9 +97,9 @@
                 return
             self._known_by_key.popitem(last=False)
 
-    def _record(self, start: StreamStart, now: float, is_own: bool) -> None:
-        self._known_by_key[start.key] = _KnownStart(start, now, is_own, is_unsent=is_own)
-        self._known_by_key.move_to_end(start.key)
+    def _record(self, known: _KnownStart) -> None:
+        self._known_by_key[known.start.key] = known
+        self._known_by_key.move_to_end(known.start.key)
         if len(self._known_by_key) > _MAX_STREAMS:
             self._known_by_key.popitem(last=False)
 
--- a/packages/parsleyrudder/parsleyrudder/delivery/tests/test_stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/tests/test_stream_origins.py
@@ -48,8 +48,8 @@
 
 def test_own_streams_are_told_once_and_only_in_mixed_pools():
     origins = StreamOrigins()
-    origins.record_own(START, 0.0)
-    origins.record_own(StreamStart(b"other", "q", "v1"), 1.0)
+    origins.record_own(START, False, 0.0)
+    origins.record_own(StreamStart(b"other", "q", "v1"), False, 1.0)
     origins.record_reported([StreamStart(b"told", "p", "v2")], 2.0)
     assert origins.take_unsent({"r"}) == []
     assert origins.take_unsent({"p"}) == [START]
@@ -61,8 +61,8 @@
 
 def test_streams_of_long_ago_are_forgotten():
     origins = StreamOrigins(memory_s=10.0)
-    origins.record_own(START, 0.0)
-    origins.record_own(StreamStart(b"later", "p", "v2"), 9.0)
+    origins.record_own(START, False, 0.0)
+    origins.record_own(StreamStart(b"later", "p", "v2"), False, 9.0)
     origins.expire(10.0)
     assert origins.find(KEY) is None
     assert origins.find(b"later") is not None
@@ -71,7 +71,7 @@
 def test_the_number_of_streams_is_bounded():
     origins = StreamOrigins()
     for number in range(25_000):
-        origins.record_own(StreamStart(str(number).encode(), "p", "v1"), 0.0)
+        origins.record_own(StreamStart(str(number).encode(), "p", "v1"), False, 0.0)
     assert len(origins.starts_in({"p"})) == 20_000
     assert origins.find(b"24999") is not None
 
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -5,11 +5,26 @@
 that fails to decode raises an error; it is never accepted in part.
 """
 
-from enum import StrEnum
-
 import msgspec
 
 from .lists import Difference
+from .message_base import BaseMessage, MessagePart
+from .relay_messages import (
+    ChangedRow,
+    LoadMessage,
+    LoadReport,
+    OrganisationUsage,
+    OriginReply,
+    OriginRequest,
+    PromptPart,
+    SentParts,
+    StreamStart,
+    StreamStarts,
+    SuspectCrashes,
+    SuspectKind,
+    TableNews,
+    TargetLimit,
+)
 
 __all__ = [
     "Carried",
@@ -43,15 +58,7 @@
 ]
 
 
-class _Part(msgspec.Struct, array_like=True, frozen=True):
-    """Base class of the structs nested in messages."""
-
-
-class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
-    """Base class of the messages."""
-
-
-class MemberReport(_Part, frozen=True):
+class MemberReport(MessagePart, frozen=True):
     """State of one member's calls at one router, in one pool.
 
     :ivar served: cost served since the start of the router's incarnation.
@@ -69,7 +76,7 @@
     remaining_cost: float
 
 
-class Carried(_Part, frozen=True):
+class Carried(MessagePart, frozen=True):
     """A virtual time received from the previous coordinator, reported to its successor.
 
     :ivar included_served: the sender's ``served`` that this virtual time includes.
@@ -82,7 +89,7 @@
     included_admitted: int
 
 
-class Holding(_Part, frozen=True):
+class Holding(MessagePart, frozen=True):
     """A router's portion of one resource: a server's slots or a member's concurrency.
 
     :ivar held: size of the portion.
@@ -96,7 +103,7 @@
     min_used: int = 0
 
 
-class Report(_Message, frozen=True):
+class Report(BaseMessage, frozen=True):
     """Report of one router to the coordinator of a pool.
 
     :ivar seq: sequence number, increasing with each report of one incarnation.
@@ -131,7 +138,7 @@
     granted_epoch: int = 0
 
 
-class MemberTotal(_Part, frozen=True):
+class MemberTotal(MessagePart, frozen=True):
     """Fleet-wide state of one member in one pool.
 
     :ivar virtual_time: service received divided by share, in cost units.
@@ -147,7 +154,7 @@
     running: int
 
 
-class Grant(_Message, frozen=True):
+class Grant(BaseMessage, frozen=True):
     """Answer of a pool's coordinator to a router's report.
 
     :ivar epoch: epoch of the coordinator's lease.
@@ -187,7 +194,7 @@
     router_count: int = 1
 
 
-class RouterState(_Part, frozen=True):
+class RouterState(MessagePart, frozen=True):
     """State of one router, as known to the sender of a gossip message.
 
     :ivar heartbeat: counter that only the router itself increments.
@@ -200,7 +207,7 @@
     leaving: bool
 
 
-class RouterInfo(_Part, frozen=True):
+class RouterInfo(MessagePart, frozen=True):
     """Registration information of a router.
 
     :ivar incarnation: number that increases with each start of the router.
@@ -215,7 +222,7 @@
     caller_url: str
 
 
-class Gossip(_Message, frozen=True):
+class Gossip(BaseMessage, frozen=True):
     """Configuration version of the sender and a part of its view of the fleet.
 
     :ivar config_version: version of the sender's active configuration.
@@ -238,7 +245,7 @@
     wants_info: bool = False
 
 
-class ConfigRequest(_Message, frozen=True):
+class ConfigRequest(BaseMessage, frozen=True):
     """Request for the configuration changes after a version.
 
     :ivar known_version: version of the sender's configuration.
@@ -248,7 +255,7 @@
     known_version: int
 
 
-class ConfigReply(_Message, frozen=True):
+class ConfigReply(BaseMessage, frozen=True):
     """Configuration changes.
 
     :ivar base_version: version that ``diff`` applies to; 0 for the whole configuration.
@@ -261,183 +268,6 @@
     diff: Difference
 
 
-class LoadReport(_Part, frozen=True):
-    """Load that one router has put on one target.
-
-    :ivar running: number of requests that were sent and have not ended.
-    :ivar pending_prefill_tokens: number of their prompt tokens that the target has yet to prefill.
-    """
-
-    running: int
-    pending_prefill_tokens: int
-
-
-class OrganisationUsage(_Part, frozen=True):
-    """Exponentially decaying sums of the request cost of one organisation at one router.
-
-    :ivar demand: cost of the requests that arrived.
-    :ivar usage: cost of the requests that were sent to targets.
-    """
-
-    demand: float
-    usage: float
-
-
-class PromptPart(_Part, frozen=True):
-    """A part of a prompt; parts with equal ids consist of the same tokens."""
-
-    id: str
-    tokens: int
-
-
-class SentParts(_Part, frozen=True):
-    """Shared parts of a prompt that the sender has just sent to a target, in prompt order.
-
-    :ivar lifetime: lifetime of the target; see :attr:`Target.lifetime`.
-    """
-
-    lifetime: str
-    parts: tuple[PromptPart, ...]
-
-
-class SuspectKind(StrEnum):
-    """What requests that crash targets have in common."""
-
-    PART = "part"
-    """A part of the prompt; sound if a response to a prompt with it has begun."""
-    REQUEST = "request"
-    """Method, path, organisation and body; sound if a response to the request is complete."""
-
-
-class SuspectCrashes(_Part, frozen=True):
-    """What the sender knows of a suspect; see :class:`Suspect`.
-
-    :ivar crash_age_ms_by_lifetime: milliseconds since the crashes of targets under requests with
-        the suspect, by the target's lifetime; those observed by any router.
-    :ivar cleared_age_ms: milliseconds since the sender last found the suspect sound; None if it
-        has not.
-    :ivar trial_age_ms: milliseconds since the sender last tried the suspect; None if it has not.
-    """
-
-    pool: str
-    kind: SuspectKind
-    id: str
-    crash_age_ms_by_lifetime: dict[str, int] = {}
-    cleared_age_ms: int | None = None
-    trial_age_ms: int | None = None
-
-
-class TargetLimit(_Part, frozen=True):
-    """Request rate that a target has stated in a response to the sender.
-
-    :ivar lifetime: lifetime of the target; see :attr:`Target.lifetime`.
-    :ivar requests_per_s: requests per second that it accepts from all routers together; None if
-        the response stated no limit.
-    :ivar age_ms: milliseconds since the response.
-    """
-
-    lifetime: str
-    requests_per_s: float | None
-    age_ms: int
-
-
-class LoadMessage(_Message, frozen=True):
-    """Load and usage by the requests of one router; each message replaces the previous one.
-
-    :ivar sequence: increases with each message of an incarnation; older messages are dropped.
-    :ivar accepts_requests: whether callers may be referred to this router.
-    :ivar long_prompt_tokens: decaying sum of the tokens of long prompts; see :class:`PromptVolume`.
-    :ivar all_prompt_tokens: decaying sum of the tokens of all prompts.
-    :ivar sent_parts: prompt parts sent to targets since the previous message; they are not repeated
-        if the message is lost.
-    :ivar suspect_crashes: what may crash targets.
-    :ivar target_limits: rate limits that targets have stated recently.
-    """
-
-    sender: str
-    incarnation: int
-    sequence: int
-    accepts_requests: bool
-    load_by_target: dict[str, LoadReport] = {}
-    usage_by_organisation: dict[str, OrganisationUsage] = {}
-    long_prompt_tokens: float = 0.0
-    all_prompt_tokens: float = 0.0
-    sent_parts: tuple[SentParts, ...] = ()
-    suspect_crashes: tuple[SuspectCrashes, ...] = ()
-    target_limits: tuple[TargetLimit, ...] = ()
-
-
-class ChangedRow(_Part, frozen=True):
-    """Added or changed row, as read from the store."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
-class TableNews(_Message, frozen=True):
-    """Changes of a table, forwarded to other routers by a router that watches the table.
-
-    :ivar after: revision after which the changes were made.
-    :ivar revision: revision up to which the changes are complete.
-    :ivar store_time_s: monotonic time of the store when it responded.
-    :ivar includes_changes: whether the message contains the changes; large ones are not forwarded
-        but read from the store by each router.
-    :ivar removed: revisions of the removals, by the key of the removed row.
-    """
-
-    table: str
-    after: int
-    revision: int
-    store_time_s: float
-    includes_changes: bool = True
-    rows: tuple[ChangedRow, ...] = ()
-    removed: dict[str, int] = {}
-
-
-class StreamStart(_Part, frozen=True):
-    """A stream that has brought its first event to its caller.
-
-    :ivar key: key of the request that brought it; see :func:`stream_key`.
-    :ivar pool: pool of the target that began the stream.
-    :ivar version: software version of this target; see :attr:`Target.version`.
-    """
-
-    key: bytes
-    pool: str
-    version: str
-
-
-class StreamStarts(_Message, frozen=True):
-    """Streams that the sender has begun, or that it hands over because it stops."""
-
-    starts: tuple[StreamStart, ...]
-
-
-class OriginRequest(_Message, frozen=True):
-    """Question where a stream began.
-
-    :ivar pool: pool in which the stream would go on.
-    """
-
-    sender: str
-    key: bytes
-    pool: str
-
-
-class OriginReply(_Message, frozen=True):
-    """Reply to :class:`OriginRequest`.
-
-    :ivar start: start of the stream; None if the sender does not know it.
-    :ivar versions: versions that the targets of the pool have had lately.
-    """
-
-    sender: str
-    key: bytes
-    start: StreamStart | None
-    versions: tuple[str, ...]
-
-
 Message = (
     Report
     | Grant
--- a/packages/parsleyrudder/parsleyrudder/targets.py
+++ b/packages/parsleyrudder/parsleyrudder/targets.py
@@ -13,9 +13,9 @@
     :ivar slots: number of requests that the target runs concurrently.
     :ivar started_ms: start of this lifetime, by the target's clock; a target that restarts under
         the same id has a different start time and has lost its previous state.
+    :ivar is_leaving: whether the target gets no new requests because it is about to stop.
     :ivar version: version of its software, which is not that of a model's weights; empty if the
         entry names none. What two versions respond does not fit together in one stream.
-    :ivar is_leaving: whether the target gets no new requests because it is about to stop.
     :ivar lifetime: identifier of this lifetime.
     """
 
@@ -25,8 +25,8 @@
     failure_domain: str
     slots: int
     started_ms: int = 0
-    version: str = ""
     is_leaving: bool = False
+    version: str = ""
 
     lifetime: str = field(init=False)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -49,6 +49,8 @@
         self._versions = VersionHistory()
         self._ring = HashRing([context.view.own_info.name])
         self._incarnation_by_name: dict[str, int] = {}
+        # Pools whose streams are told to others, as their targets have several versions.
+        self._told_pools: set[str] = set()
         self._inquiry_by_key: dict[bytes, OriginInquiry] = {}
         self._callbacks_by_key: dict[bytes, list[OriginCallback]] = defaultdict(list)
         self.link: PeerLink | None = None
@@ -64,21 +66,26 @@
         """Learn the versions of the current targets, and tell of streams that may now be mixed."""
         at = now()
         self._versions.record(self._context.targets.by_id.values(), at)
-        self._tell(self._origins.take_unsent(self._mixed_pools(at)))
+        mixed_pools = self._mixed_pools(at)
+        newly_mixed_pools = mixed_pools - self._told_pools
+        self._told_pools = mixed_pools
+        if newly_mixed_pools:
+            self._tell(self._origins.take_unsent(newly_mixed_pools))
 
     def record_began(self, request: str, pool: str, version: str) -> None:
         """Record that a stream of this router has brought its first event.
 
         :param request: id of the request that the caller will name when it takes the stream up.
         """
-        at = now()
-        self._origins.record_own(StreamStart(stream_key(request), pool, version), at)
-        if self._versions.is_mixed(pool, at):
-            self._tell(self._origins.take_unsent({pool}))
+        start = StreamStart(stream_key(request), pool, version)
+        is_told = pool in self._told_pools
+        self._origins.record_own(start, is_told, now())
+        if is_told:
+            self._tell([start])
 
     def hand_over(self) -> None:
         """Tell other routers of all streams that this one knows, before it stops."""
-        self._tell(self._origins.starts_in(self._mixed_pools(now())))
+        self._tell(self._origins.starts_in(self._told_pools))
 
     def find(self, request: str | None, pool: str, callback: OriginCallback) -> None:
         """Find out which version began a stream.
@@ -120,7 +127,7 @@
         fresh = {name for name, _ in incarnation_by_name.items() - known_before}
         old_ring, self._ring = self._ring, HashRing(names)
         starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
-        for start in self._origins.own_starts_since(self._mixed_pools(at), at - _RETOLD_AGE_S):
+        for start in self._origins.own_starts_since(self._told_pools, at - _RETOLD_AGE_S):
             told = set(self._others(old_ring, start.key, _HOLDER_COUNT)) - fresh
             for name in self._others(self._ring, start.key, _HOLDER_COUNT):
                 if name not in told:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -53,7 +53,8 @@
 
         :param version: software version of the target.
         """
-        self.versions.append(version)
+        if version not in self.versions:
+            self.versions.append(version)
         if self.response_started_at is None:
             self.response_started_at = at
 
