Keep a stream while another target responds without one

A caller got a second response head in the middle of a stream: the first target broke off after some events, the second failed with a whole response, which replaced the record of the stream, and the third began a new one. The stream and the whole response of an attempt are kept apart now.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -72,7 +72,10 @@
         self._relayed_request = RelayedRequest(waiting_request.id, route, waiting_request.deadline)
         self._event_filter = EventFilter(request.last_event_id)
         self._attempt: Attempt | None = None
-        self._response: BufferedResponse | StreamedResponse | None = None
+        # The stream that the caller gets; kept while another target responds with no stream.
+        self._stream: StreamedResponse | None = None
+        # Response of the current attempt, if it is not a stream.
+        self._buffered: BufferedResponse | None = None
         self._failed_response: BufferedResponse | None = None
         self._silence_timer: Timer | None = None
         self._sends = Sends(waiting_request, pool.send_listeners)
@@ -140,6 +143,7 @@
             ),
         )
         self._event_filter.begin_attempt()
+        self._buffered = None
         attempt = self._attempt = Attempt(self, self.context.dialect, target)
         attempt.exchange = self.context.client.send(target.address, request, attempt)
         self._check_silence()
@@ -172,39 +176,38 @@
     def on_attempt_head(self, head: ResponseHead) -> None:
         """See :class:`AttemptOwner`."""
         self._trace.record_activity(now())
-        if head.is_event_stream and head.status == 200:
-            if not isinstance(self._response, StreamedResponse):
-                self._response = StreamedResponse(self._exchange, head, self._attempt)
-            else:
-                self._response.go_on_from(head, self._attempt)
-        else:
+        if not head.is_event_stream or head.status != 200:
             self._record_response_start()
-            self._response = BufferedResponse(head)
+            self._buffered = BufferedResponse(head)
+        elif self._stream is None:
+            self._stream = StreamedResponse(self._exchange, head, self._attempt)
+        else:
+            self._stream.go_on_from(head, self._attempt)
 
     def on_attempt_data(self, data: bytes) -> None:
         """See :class:`AttemptOwner`."""
         self._trace.record_activity(now())
-        if isinstance(self._response, BufferedResponse):
-            self._response.body += data
-            if len(self._response.body) > _MAX_RESPONSE_BYTES:
+        if self._buffered is not None:
+            self._buffered.body += data
+            if len(self._buffered.body) > _MAX_RESPONSE_BYTES:
                 self._abandon_attempt(
                     SendEnd.BROKEN, f"response exceeds {_MAX_RESPONSE_BYTES} bytes"
                 )
             return
         events = self._event_filter.feed(data)
-        if events and isinstance(self._response, StreamedResponse):
+        if events and self._stream is not None:
             self._record_response_start()
             self._sends.answered(now())
             self._relayed_request.head_relayed = True
             self._require_version()
-            self._response.write(events, self.context.timers)
+            self._stream.write(events, self.context.timers)
         if self._event_filter.error:
             self._abandon_attempt(SendEnd.BROKEN, self._event_filter.error)
 
     def on_attempt_end(self) -> None:
         """See :class:`AttemptOwner`."""
-        response = self._response
-        if isinstance(response, BufferedResponse):
+        response = self._buffered
+        if response is not None:
             self._sends.answered(now())
             if self._relayed_request.head_relayed:
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
@@ -217,9 +220,9 @@
         elif not self._event_filter.is_between_events or not self._relayed_request.head_relayed:
             self.on_attempt_failed(SendEnd.BROKEN, "the stream ended in the middle of an event")
         else:
-            assert response is not None
+            assert self._stream is not None
             self._end_attempt(None, is_failure=False)
-            response.finish()
+            self._stream.finish()
             self._finish("answered")
 
     def on_attempt_failed(self, end: SendEnd, reason: str) -> None:
