Record the first event of an attempt once

Since the sends have one way out, each further event of a stream asked for the time twice and made four calls, for nothing. The records are as before.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -196,10 +196,7 @@
             return
         events = self._event_filter.feed(data)
         if events and self._stream is not None:
-            self._record_response_start()
-            self._sends.answered(now())
-            self._relayed_request.head_relayed = True
-            self._require_version()
+            self._record_first_event()
             self._stream.write(events, self.context.timers)
         if self._event_filter.error:
             self._abandon_attempt(SendEnd.BROKEN, self._event_filter.error)
@@ -298,10 +295,15 @@
             self._trace.record_response_start(send.target.version, now())
             self._pools.ensure_polling()
 
-    def _require_version(self) -> None:
-        """Let the stream go on only at the version of the target that events have come from."""
-        if self._attempt is not None:
-            self.waiting_request.required_version = self._attempt.target.version
+    def _record_first_event(self) -> None:
+        """Record the first event of an attempt; from then on its version is required."""
+        send = self._sends.current
+        if send is None or send.has_answered:
+            return
+        self._record_response_start()
+        self._sends.answered(now())
+        self._relayed_request.head_relayed = True
+        self.waiting_request.required_version = send.target.version
 
     def _end_attempt(self, end: SendEnd | None, is_failure: bool | None) -> None:
         attempt, self._attempt = self._attempt, None
