Use the field's word for a caller that resumes a stream

A trial's rank is that of a suspect, not of a part. Names and texts only; the tests of the modules concerned pass.

--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -48,7 +48,7 @@
     :ivar suspects: what targets may crash on: the request itself, and the parts of its prompt that
         other requests may share.
     :ivar is_trial: whether the request is sent although one of them is quarantined.
-    :ivar stream_id: id by which its caller can take the stream up; empty if it can't.
+    :ivar stream_id: id by which its caller can resume the stream; empty if it can't.
     :ivar required_version: software version of the only targets that may get the request, as they
         have begun its stream; None if any may get it.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -265,10 +265,10 @@
         for n, version in enumerate(versions)
     )
     pool.loads.record_report("other", {id: LoadReport(4, 0) for id in full}, 0.0)
-    take_up = request()
-    take_up.required_version = "v1"
-    take_up.excluded_target_ids.update(failed)
-    decision = pool.submit(take_up, 0.0)
+    resumed_request = request()
+    resumed_request.required_version = "v1"
+    resumed_request.excluded_target_ids.update(failed)
+    decision = pool.submit(resumed_request, 0.0)
     if isinstance(decision, Placed):
         assert decision.target.id == expected
     elif isinstance(decision, Refused):
--- a/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
@@ -1,6 +1,6 @@
-"""Which software version began each stream, for callers that take a stream up at any router.
+"""Which software version began each stream, for callers that resume a stream at any router.
 
-A stream may go on only at the version that began it. A caller that takes a stream up names the
+A stream may go on only at the version that began it. A caller that resumes a stream names the
 request that brought its first event, but not the version, and the router that began the stream may
 be gone. So while targets of several versions serve in a pool, each router tells a few others, the
 holders, about the streams that it begins. The holders of a stream follow from the id of its first
@@ -106,7 +106,7 @@
 
 @dataclass(slots=True)
 class OriginInquiry:
-    """One question to other routers about a stream that a caller takes up.
+    """One question to other routers about a stream that a caller resumes.
 
     :ivar pool: pool in which the stream would go on.
     :ivar asked: names of the routers that have not replied yet.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -53,16 +53,16 @@
     at: float
 
     @property
-    def is_take_up(self) -> bool:
+    def is_resumption(self) -> bool:
         """Whether the caller has a part of the stream, and asks for the rest."""
         return self.request.last_event_id is not None and self._is_resumable
 
     @property
     def stream_id(self) -> str:
-        """Id by which the caller can take the stream up, or an empty string."""
+        """Id by which the caller can resume the stream, or an empty string."""
         if not self._is_resumable:
             return ""
-        return (self.request.resumes if self.is_take_up else None) or self.request.id
+        return (self.request.resumes if self.is_resumption else None) or self.request.id
 
     @property
     def _is_resumable(self) -> bool:
@@ -72,7 +72,7 @@
 class RelayApi:
     """Handler of the callers' requests; see :class:`RequestHandler`.
 
-    :param origins: knows where streams began that callers take up.
+    :param origins: knows where streams began that callers resume.
     :param request_refusal: returns why this router accepts no requests now, or None if it does.
     """
 
@@ -125,15 +125,15 @@
         name = organisation.name if organisation else ""
         accepted = _AcceptedRequest(exchange, request, route, name, now())
         pool = route.select_pool(self._rng.random())
-        if accepted.is_take_up:
+        if accepted.is_resumption:
             self._origins.find(
-                request.resumes, pool, lambda start: self._take_up(accepted, pool, start)
+                request.resumes, pool, lambda start: self._resume(accepted, pool, start)
             )
         else:
             self._relay(accepted, pool, required_version=None)
 
-    def _take_up(self, accepted: "_AcceptedRequest", pool: str, start: StreamStart | None) -> None:
-        """Relay a request that takes a stream up, now that it is known where the stream began."""
+    def _resume(self, accepted: "_AcceptedRequest", pool: str, start: StreamStart | None) -> None:
+        """Relay a request that resumes a stream, now that it is known where the stream began."""
         if accepted.exchange.is_gone():
             return
         if start is None:
@@ -161,7 +161,7 @@
             elapsed_s = max_timeout_s - request.timeout_s
             timeout_s = min(timeout_s, request.timeout_s)
         due_s = route.target_latency_s - elapsed_s
-        if accepted.is_take_up:
+        if accepted.is_resumption:
             # The caller has its first event, and waits for the next one.
             due_s = route.target_event_interval_s
         digest = _digest(accepted)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -201,11 +201,11 @@
             return failure("not_ready", "no configuration has been read yet", 0.3)
         return None
 
-    def _trial_rank(self, part: str) -> int:
-        """Return the position of this router in the order in which routers may try a part."""
+    def _trial_rank(self, id: str) -> int:
+        """Return the position of this router in the order in which routers may try a suspect."""
         view = self.context.view
         routers = {view.own_info.name, *view.active_routers(now())}
-        return rendezvous(part, routers).index(view.own_info.name)
+        return rendezvous(id, routers).index(view.own_info.name)
 
     @handler("started", channel="*")
     def _on_started(self, component: object) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -20,7 +20,7 @@
     :ivar last_event_id: last event of the stream that the caller has received; None to send the
         stream from its start.
     :ivar resumes: id of the request that brought the first event of the stream that the caller
-        takes up; None if it takes none up.
+        resumes; None if it resumes none.
     """
 
     id: str
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -75,7 +75,7 @@
     def record_began(self, request: str, pool: str, version: str) -> None:
         """Record that a stream of this router has brought its first event.
 
-        :param request: id of the request that the caller will name when it takes the stream up.
+        :param request: id of the request that the caller will name when it resumes the stream.
         """
         start = StreamStart(stream_key(request), pool, version)
         is_told = pool in self._told_pools
@@ -217,7 +217,7 @@
         return context.active_config.age_s(now()) < context.settings.bounds.apply_s
 
     def _count(self, origin: str) -> None:
-        self._context.metrics.count("streams_taken_up", origin=origin)
+        self._context.metrics.count("streams_resumed", origin=origin)
 
     def _send(self, name: str, message: Message) -> None:
         info = self._context.view.info(name)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
@@ -143,7 +143,7 @@
 
 
 class OriginListener(SendListener):
-    """Records where streams begin, for callers that take them up later."""
+    """Records where streams begin, for callers that resume them later."""
 
     def __init__(self, origins: OriginTask, pool: str) -> None:
         self._origins = origins
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -142,7 +142,7 @@
     assert [network.find("r2", f"s{number}") for number in range(20)] == ["v1"] * 20
 
 
-def test_two_callers_that_take_up_one_stream_at_once_are_both_served(monkeypatch):
+def test_two_callers_that_resume_one_stream_at_once_are_both_served(monkeypatch):
     network = Network(monkeypatch, 4, MIXED)
     network["r0"].record_began("s", "p", "v1")
     network.dead = {"r0", "r1", "r2"}
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -16,8 +16,8 @@
     """Times and inputs of one request, in seconds of monotonic time.
 
     :ivar id: id that the caller gave the request.
-    :ivar resumes: id of the request that brought the first event of the stream, if the caller takes
-        one up.
+    :ivar resumes: id of the request that brought the first event of the stream; None if the caller
+        resumes none.
     :ivar versions: software versions of the targets of which events or a whole response came.
     :ivar placed: latest decision to place the request.
     :ivar placed_at: time of the first such decision.
