Test when the next event of a resumed stream is due

With its line taken out, a resumed stream is due 2.2 s before it arrives; with it, within the pause that the route allows.

--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
@@ -0,0 +1,77 @@
+"""When the next event of a stream is due that a caller resumes, without a network."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from parsleyrudder import LoadShedder, RequestSize, Route, RouteKind, StreamStart
+from parsleyrudder_daemon.metrics import Metrics
+from parsleyrudder_daemon.relay import api as relay_api
+from parsleyrudder_daemon.relay.api import RelayApi
+from parsleyrudder_daemon.relay.dialect import DecodedRequest
+
+NOW = 100.0
+START = StreamStart(b"key", "p", "v1")
+ROUTE = Route(
+    "r",
+    "h",
+    "/",
+    RouteKind.STREAM,
+    15.0,
+    {"p": 1.0},
+    target_latency_s=0.8,
+    target_event_interval_s=0.4,
+    is_public=True,
+    is_resumable=True,
+)
+
+
+def relayed(monkeypatch, requests):
+    """Return what is submitted for admission, in order."""
+    submitted: list[Any] = []
+
+    class Call:
+        def __init__(self, *args):
+            self.waiting_request = args[6]
+            self.id = self.waiting_request.id
+
+        def begin(self):
+            submitted.append(self.waiting_request)
+
+    monkeypatch.setattr(relay_api, "RelayCall", Call)
+    monkeypatch.setattr(relay_api, "now", lambda: NOW)
+    config = SimpleNamespace(find_route=lambda host, path: ROUTE, organisation_by_key={})
+    context: Any = SimpleNamespace(
+        is_stopping=False,
+        dialect=SimpleNamespace(decode_request=lambda request: request.decoded),
+        active_config=SimpleNamespace(config=config),
+        load_shedder=LoadShedder(),
+        metrics=Metrics(),
+    )
+    origins: Any = SimpleNamespace(find=lambda resumes, pool, callback: callback(START))
+    api = RelayApi(context, origins, random.Random(1), lambda: None)
+    monkeypatch.setattr(api.pools, "get", lambda name: SimpleNamespace(name=name))
+    for decoded in requests:
+        received = SimpleNamespace(decoded=decoded, method="POST", target="/", body=b"")
+        exchange: Any = SimpleNamespace(request=received, is_gone=lambda: False)
+        api.on_request(exchange)
+    return submitted
+
+
+@pytest.mark.parametrize(
+    ("last_event_id", "due_in_s", "version"),
+    [
+        pytest.param(None, 0.8 - 3.0, None, id="a-retry-is-due-since-the-first-attempt"),
+        pytest.param(7, 0.4, "v1", id="a-resumption-is-due-within-a-pause"),
+    ],
+)
+def test_a_resumed_stream_is_not_overdue_from_the_start(
+    monkeypatch, last_event_id, due_in_s, version
+):
+    """It was refused at once unless a target was free, as its first event had been due long ago."""
+    first = DecodedRequest("a", "h", "/", "", 15.0, RequestSize())
+    again = DecodedRequest("b", "h", "/", "", 12.0, RequestSize(), last_event_id, "a")
+    _, submitted = relayed(monkeypatch, [first, again])
+    assert submitted.response_due_at == pytest.approx(NOW + due_in_s)
+    assert submitted.required_version == version
