Wait before a quarantine is written again to a store that failed

While the store is down, the router that keeps a quarantine writes to it in each report interval, up to ten times a second, and each call counts against the fleet's rate. Found by reading. A failed write is now repeated after 1 s at the earliest. The new test failed before: a second write followed one failure at once.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -137,6 +137,7 @@
                 self._send_gossip(info.peer_address, reply=False)
 
     def _disconnect_if_restarted(self, gossip: Gossip) -> None:
+        """Close the socket to a sender that has started again, so that the reply connects anew."""
         known = self._context.view.info(gossip.sender)
         for state in gossip.states:
             if known is None or self.link is None or state.name != gossip.sender:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
@@ -68,7 +68,10 @@
         self._feed.read(self._table, done)
 
     def save(self, suspect: Suspect, crashes: SuspectCrashes) -> None:
-        """Write the row of a quarantined suspect, unless it is stored with as many crashes."""
+        """Write the row of a quarantined suspect, unless it is stored with as many crashes.
+
+        A failed write may be repeated after a delay.
+        """
         count = len(crashes.crash_age_ms_by_lifetime)
         is_stored = self._crash_count_by_suspect.get(suspect) == count
         if not self._is_read or is_stored or suspect in self._is_writing:
@@ -76,10 +79,11 @@
         self._is_writing.add(suspect)
 
         def done(result: bool | TableError) -> None:
-            self._is_writing.discard(suspect)
             if isinstance(result, TableError):
                 log_event(_LOGGER, "quarantine_not_stored", logging.WARNING, reason=result)
+                self._timers.after(_RETRY_DELAY_S, lambda: self._is_writing.discard(suspect))
             else:
+                self._is_writing.discard(suspect)
                 self._crash_count_by_suspect[suspect] = count
 
         self._feed.put(self._table, _row_key(suspect), _encode(crashes), done)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_quarantine_store.py
@@ -45,9 +45,9 @@
         done(self.rows.pop(key, None) is not None)
 
 
-def start(feed):
+def start(feed, after=lambda delay_s, callback: callback()):
     """Return a store that has read the table, and what it has read."""
-    timers: Any = SimpleNamespace(after=lambda delay_s, callback: callback())
+    timers: Any = SimpleNamespace(after=after)
     store = QuarantineStore(feed, timers, "quarantines")
     read: list[SuspectCrashes] = []
     store.start(read.extend)
@@ -85,6 +85,23 @@
     assert feed.puts == 3
 
 
+def test_a_failed_write_is_not_repeated_at_once():
+    """A store that is down got a write in each report interval, ten a second."""
+    feed = Feed()
+    pending: list[Any] = []
+    store, _ = start(feed, lambda delay_s, callback: pending.append((delay_s, callback)))
+    feed.failures = 1
+    for _ in range(10):
+        store.save(SUSPECT, crashes(3))
+    assert feed.puts == 1
+    [(delay_s, callback)] = pending
+    assert delay_s >= 1.0
+    callback()
+    store.save(SUSPECT, crashes(3))
+    assert feed.puts == 2
+    assert len(feed.rows) == 1
+
+
 def test_a_foreign_row_is_ignored():
     feed = Feed()
     feed.rows["x"] = Row("x", b"\xc1", 1)
