Keep versions and stream starts in the store for a restart of all routers

Cause: which version began a stream was kept at routers only. When all of them are killed at once nobody knows, and a router that has just started has an empty VersionHistory, so that "no second version within 300 s" was true for it and it inferred the only version in sight. Ruled out: the exchange between routers (the fault needs no cut or loss, only that no router outlives the stream); targets can't tell, as they drop a request with its connection (decision 0006 weighs the ways).

Change: the versions of each pool stand in the store, one row each; a router infers a version only from a complete history. While a pool is mixed, recorders write the streams that all routers begin, in batches, and a router that finds no holder looks a stream up there.

--- a/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
@@ -23,12 +23,13 @@
 )
 from .relays import RelayedRequest, SendEnd
 from .retries import RetryBudget
-from .stream_origins import OriginInquiry, StreamOrigins, stream_key
+from .stream_origins import STREAM_KEY_BYTES, OriginInquiry, StreamOrigins, stream_key
 from .streams import CompletionStream, StreamPart
-from .version_history import VersionHistory
+from .version_history import PoolVersion, VersionHistory
 
 __all__ = [
     "KEYS_PREFIX",
+    "STREAM_KEY_BYTES",
     "AttemptEnd",
     "Call",
     "CompletionStream",
@@ -43,6 +44,7 @@
     "KeyState",
     "KeyWrite",
     "OriginInquiry",
+    "PoolVersion",
     "RelayedRequest",
     "Retry",
     "RetryBudget",
--- a/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
@@ -17,9 +17,9 @@
 
 from ..messages import OriginReply, StreamStart
 
-__all__ = ["OriginInquiry", "StreamOrigins", "stream_key"]
+__all__ = ["STREAM_KEY_BYTES", "OriginInquiry", "StreamOrigins", "stream_key"]
 
-_KEY_BYTES = 8
+STREAM_KEY_BYTES = 8
 _MAX_STREAMS = 20_000
 
 
@@ -28,7 +28,7 @@
 
     :param request: id that the caller gave the request.
     """
-    return hashlib.blake2b(request.encode(), digest_size=_KEY_BYTES).digest()
+    return hashlib.blake2b(request.encode(), digest_size=STREAM_KEY_BYTES).digest()
 
 
 @dataclass(slots=True)
@@ -111,6 +111,7 @@
     :ivar pool: pool in which the stream would go on.
     :ivar asked: names of the routers that have not replied yet.
     :ivar versions: versions that the pool's targets have had lately, as far as any router knows.
+    :ivar is_closed: whether no further reply is waited for.
     """
 
     key: bytes
@@ -118,6 +119,7 @@
     asked: set[str]
     versions: set[str]
     start: StreamStart | None = None
+    is_closed: bool = False
 
     def record_reply(self, reply: OriginReply) -> None:
         """Merge the reply of a router."""
@@ -130,16 +132,17 @@
         """Whether no further reply can change the result."""
         return self.start is not None or not self.asked
 
-    def result(self, is_current: bool) -> StreamStart | None:
+    def result(self, is_complete: bool, is_current: bool) -> StreamStart | None:
         """Return where the stream began, or None if its version is unknown.
 
         If all targets have had the same version lately, the stream has begun at that one.
 
+        :param is_complete: see :meth:`VersionHistory.is_complete`.
         :param is_current: whether this router's own knowledge of the targets is up to date; if not,
             other routers may have begun streams at versions that it does not know.
         """
         if self.start is not None or len(self.versions) > 1:
             return self.start
-        if self.asked and not is_current:
+        if not is_complete or (self.asked and not is_current):
             return None
         return StreamStart(self.key, self.pool, next(iter(self.versions), ""))
--- a/packages/parsleyrudder/parsleyrudder/feeds.py
+++ b/packages/parsleyrudder/parsleyrudder/feeds.py
@@ -4,7 +4,7 @@
 after a revision, and includes its own monotonic time in each response.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -73,6 +73,10 @@
         """Remove a row if it still has a revision; the result is whether it had."""
         ...
 
+    def remove_all(self, table: str, keys: Sequence[str], done: WriteCallback) -> None:
+        """Remove at most 100 rows, whatever their revisions, in one transaction."""
+        ...
+
 
 @dataclass(slots=True)
 class StoreClock:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -44,7 +44,9 @@
 from .quarantine_store import QuarantineStore
 from .settings import RelaySettings
 from .state_report import StateReport
+from .stream_store import StreamStore
 from .table_watch import TableWatch, WatchRules
+from .version_store import VersionStore
 
 __all__ = ["RelayApp"]
 
@@ -145,7 +147,11 @@
             text = f"can't listen on {settings.peers}: {error}"
             raise SettingsError(text, _ADDRESS_REMEDY) from error
         self.peers.link = self._link
-        self.origins = OriginTask(self.context)
+        self.origins = OriginTask(
+            self.context,
+            VersionStore(feed, timers, decoder.version_table),
+            StreamStore(feed, timers, settings.name, decoder.stream_table),
+        )
         self.origins.link = self._link
         self._watch_by_table = {
             decoder.config_table: TableWatch(
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -116,12 +116,16 @@
     :ivar target_table: table of the targets' entries.
     :ivar router_table: table in which the routers register to find each other.
     :ivar quarantine_table: table in which the routers keep quarantines.
+    :ivar version_table: table in which they keep the software versions that targets have had.
+    :ivar stream_table: table in which they record at which versions streams have begun.
     """
 
     config_table: str
     target_table: str
     router_table: str
     quarantine_table: str
+    version_table: str
+    stream_table: str
 
     def decode_config(self, rows: list[Row]) -> TrafficConfig | None:
         """Return the configuration among the rows, or None if none of them holds one.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -14,12 +14,15 @@
     StreamStart,
     StreamStarts,
     VersionHistory,
+    rendezvous,
     stream_key,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.peers import PeerLink
 
 from .context import RelayContext, now
+from .stream_store import StreamStore
+from .version_store import StoredVersions, VersionStore
 
 __all__ = ["OriginTask"]
 
@@ -31,6 +34,9 @@
 _ASKED_COUNT = 8
 _REPLY_TIMEOUT_S = 0.3
 _REFRESH_INTERVAL_S = 0.25
+# Time after the start in which the routers find each other, so that not all of them write.
+_JOIN_TIME_S = 1.0
+_ROUTERS_PER_RECORDER = 100
 # Age up to which streams are told to the routers that become their holders.
 _RETOLD_AGE_S = 30.0
 
@@ -40,14 +46,23 @@
 class OriginTask:
     """Tells other routers of the streams that this one begins, and asks them for others.
 
+    What must outlast a restart of all routers is kept in the store.
+
     :ivar link: connection to the other routers; set before the start.
     """
 
-    def __init__(self, context: RelayContext) -> None:
+    def __init__(
+        self, context: RelayContext, version_store: VersionStore, stream_store: StreamStore
+    ) -> None:
         self._context = context
+        self._version_store = version_store
+        self._stream_store = stream_store
+        self._started_at = now()
         self._origins = StreamOrigins()
         self._versions = VersionHistory()
         self._ring = HashRing([context.view.own_info.name])
+        # Routers that write the streams to the store for all others.
+        self._recorders = [context.view.own_info.name]
         self._incarnation_by_name: dict[str, int] = {}
         # Pools whose streams are told to others, as their targets have several versions.
         self._told_pools: set[str] = set()
@@ -56,18 +71,26 @@
         self.link: PeerLink | None = None
 
     def start(self) -> None:
-        """Start to follow the versions and the routers."""
-        self._context.timers.after(_REFRESH_INTERVAL_S, self.start)
+        """Read the versions from before this start, and start to follow versions and routers."""
+        self._version_store.start(self._on_stored_versions)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Follow the versions and the routers."""
+        self._context.timers.after(_REFRESH_INTERVAL_S, self.refresh)
         self.refresh_versions()
         self._refresh_ring()
+        self._save_versions()
         self._origins.expire(now())
 
     def refresh_versions(self) -> None:
         """Learn the versions of the current targets, and tell of streams that may now be mixed."""
         at = now()
         self._versions.record(self._context.targets.by_id.values(), at)
-        mixed_pools = self._mixed_pools(at)
+        mixed_pools = self._versions.mixed_pools(at)
         newly_mixed_pools = mixed_pools - self._told_pools
+        if self._told_pools and not mixed_pools and self._recorders[0] == self._own_name:
+            self._stream_store.clear()
         self._told_pools = mixed_pools
         if newly_mixed_pools:
             self._tell(self._origins.take_unsent(newly_mixed_pools))
@@ -108,6 +131,7 @@
         """Handle a message from another router."""
         if isinstance(message, StreamStarts):
             self._origins.record_reported(message.starts, now())
+            self._record([s for s in message.starts if self._recorder(s) == self._own_name])
         elif isinstance(message, OriginRequest):
             self._reply(message)
         elif isinstance(message, OriginReply):
@@ -126,6 +150,8 @@
         # A router that has started again has lost what it was told.
         fresh = {name for name, _ in incarnation_by_name.items() - known_before}
         old_ring, self._ring = self._ring, HashRing(names)
+        recorder_count = 1 + len(names) // _ROUTERS_PER_RECORDER
+        self._recorders = rendezvous("stream recorders", names)[:recorder_count]
         starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
         for start in self._origins.own_starts_since(self._told_pools, at - _RETOLD_AGE_S):
             told = set(self._others(old_ring, start.key, _HOLDER_COUNT)) - fresh
@@ -134,22 +160,57 @@
                     starts_by_holder[name].append(start)
         self._send_starts(starts_by_holder)
 
-    def _mixed_pools(self, at: float) -> set[str]:
-        return {pool for pool in self._versions.pools() if self._versions.is_mixed(pool, at)}
+    def _on_stored_versions(self, stored: StoredVersions) -> None:
+        self._versions.record_earlier(stored.versions, now())
+        is_first = self._context.settings.first_start and stored.is_empty
+        self._versions.has_earlier = stored.is_complete or is_first
+        log_event(
+            _LOGGER,
+            "versions_read",
+            versions=",".join(sorted(map("/".join, stored.versions))) or None,
+            complete=self._versions.has_earlier,
+        )
+
+    def _save_versions(self) -> None:
+        """Keep the versions in the store, if this router is the one that does so for all."""
+        at = now()
+        if at - self._started_at < _JOIN_TIME_S or self._recorders[0] != self._own_name:
+            return
+        current = self._versions.current(at)
+        if not current:
+            return
+        is_complete = self._versions.is_complete(at)
+        self._version_store.save(current, is_complete)
+        if is_complete:
+            self._version_store.remove_others(current)
+
+    @property
+    def _own_name(self) -> str:
+        return self._context.view.own_info.name
+
+    def _recorder(self, start: StreamStart) -> str:
+        return self._recorders[start.key[0] % len(self._recorders)]
+
+    def _record(self, starts: list[StreamStart]) -> None:
+        if starts:
+            self._stream_store.add(starts)
 
     def _tell(self, starts: Iterable[StreamStart]) -> None:
-        starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
+        """Tell the holders and the recorder of each stream."""
+        starts_by_router: dict[str, list[StreamStart]] = defaultdict(list)
         for start in starts:
-            for name in self._others(self._ring, start.key, _HOLDER_COUNT):
-                starts_by_holder[name].append(start)
-        self._send_starts(starts_by_holder)
+            holders = self._others(self._ring, start.key, _HOLDER_COUNT)
+            for name in {*holders, self._recorder(start)}:
+                starts_by_router[name].append(start)
+        self._record(starts_by_router.pop(self._own_name, []))
+        self._send_starts(starts_by_router)
 
     def _send_starts(self, starts_by_holder: dict[str, list[StreamStart]]) -> None:
         for name, starts in starts_by_holder.items():
             self._send(name, StreamStarts(tuple(starts)))
 
     def _others(self, ring: HashRing, key: bytes, count: int) -> list[str]:
-        own = self._context.view.own_info.name
+        own = self._own_name
         return [name for name in ring.successors(key, count + 1) if name != own][:count]
 
     def _begin_inquiry(self, key: bytes, pool: str) -> None:
@@ -170,16 +231,14 @@
         if inquiry.is_settled:
             self._settle(inquiry)
             return
-        own = self._context.view.own_info.name
         for name in sorted(inquiry.asked):
-            self._send(name, OriginRequest(own, inquiry.key, inquiry.pool))
+            self._send(name, OriginRequest(self._own_name, inquiry.key, inquiry.pool))
         self._context.timers.after(_REPLY_TIMEOUT_S, lambda: self._settle(inquiry))
 
     def _reply(self, request: OriginRequest) -> None:
         versions = tuple(sorted(self._versions.versions(request.pool, now())))
         start = self._origins.find(request.key)
-        own = self._context.view.own_info.name
-        self._send(request.sender, OriginReply(own, request.key, start, versions))
+        self._send(request.sender, OriginReply(self._own_name, request.key, start, versions))
 
     def _on_reply(self, reply: OriginReply) -> None:
         inquiry = self._inquiry_by_key.get(reply.key)
@@ -189,14 +248,27 @@
                 self._settle(inquiry)
 
     def _settle(self, inquiry: OriginInquiry) -> None:
-        """Report the result of an inquiry; does nothing if it has already been reported."""
-        if self._inquiry_by_key.get(inquiry.key) is not inquiry:
+        """Settle an inquiry to which no further reply is expected; does nothing the second time."""
+        if inquiry.is_closed:
             return
+        inquiry.is_closed = True
+        start = inquiry.result(self._versions.is_complete(now()), self._is_current())
+        if start is not None:
+            self._report(inquiry, start, "told" if inquiry.start else "inferred")
+        elif not inquiry.key:
+            self._report(inquiry, None, "unknown")
+        else:
+            self._stream_store.find(
+                inquiry.key,
+                lambda found: self._report(inquiry, found, "recorded" if found else "unknown"),
+            )
+
+    def _report(self, inquiry: OriginInquiry, start: StreamStart | None, origin: str) -> None:
+        """Report the result of an inquiry to those who wait for it."""
         del self._inquiry_by_key[inquiry.key]
-        start = inquiry.result(self._is_current())
-        if inquiry.start is not None:
-            self._origins.record_reported([inquiry.start], now())
-        self._count("told" if inquiry.start else "inferred" if start else "unknown")
+        if origin in ("told", "recorded") and start is not None:
+            self._origins.record_reported([start], now())
+        self._count(origin)
         if start is None:
             log_event(
                 _LOGGER,
@@ -205,6 +277,7 @@
                 stream=inquiry.key.hex() or None,
                 pool=inquiry.pool,
                 versions=",".join(sorted(inquiry.versions)),
+                history_complete=self._versions.is_complete(now()),
                 unanswered=",".join(sorted(inquiry.asked)) or None,
                 routers=len(self._ring.names),
             )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/row_removal.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/row_removal.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from parsleyrudder import FeedPage, FeedService, TableError
+from parsleyrudder import FeedService, TableError
 from parsleyrudder_adapters.logs import log_event
 
 __all__ = ["log_failed_removal", "remove_row"]
@@ -12,16 +12,7 @@
 
 def remove_row(feed: FeedService, table: str, key: str) -> None:
     """Remove a row, whatever its revision; a failure is only logged."""
-
-    def on_rows(page: FeedPage | TableError) -> None:
-        if isinstance(page, TableError):
-            log_failed_removal(page)
-            return
-        for row in page.rows:
-            if row.key == key:
-                feed.remove(table, key, row.revision, log_failed_removal)
-
-    feed.read(table, on_rows)
+    feed.remove_all(table, [key], log_failed_removal)
 
 
 def log_failed_removal(result: bool | TableError) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/settings.py
@@ -55,6 +55,8 @@
     :ivar store: address of the store.
     :ivar metrics: address to listen on for requests for the metrics.
     :ivar descriptors: number of descriptors that the process may have open.
+    :ivar first_start: whether the whole fleet starts for the first time, so that nothing that an
+        earlier router has done has to be taken into account.
     :ivar log_level: minimum level of logged events.
     """
 
@@ -68,6 +70,7 @@
     metrics: Address
     seeds: list[Address] = []
     descriptors: Annotated[int, Meta(ge=64)] = 8192
+    first_start: bool = False
     log_level: str = "INFO"
     bounds: RelayBounds = msgspec.field(default_factory=RelayBounds)
 
--- /dev/null
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -0,0 +1,124 @@
+"""Keeps the software versions of each pool in the store, so that they outlast all routers."""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+from parsleyrudder import FeedPage, FeedService, PoolVersion, TableError
+from parsleyrudder_adapters.logs import log_event
+from parsleyrudder_adapters.timers import Timers
+
+__all__ = ["StoredVersions", "VersionStore"]
+
+_LOGGER = logging.getLogger(__name__)
+_RETRY_DELAY_S = 1.0
+# Key of the row that is written once the table lists all versions; no version has this key.
+_COMPLETE_KEY = "complete"
+_REMOVED_PER_CALL = 100
+
+
+@dataclass(slots=True, frozen=True)
+class StoredVersions:
+    """What the store knows of the versions at the start of a router.
+
+    :ivar is_complete: whether the table lists the versions of all streams that may still be open.
+    """
+
+    versions: frozenset[PoolVersion]
+    is_complete: bool
+    is_empty: bool
+
+
+class VersionStore:
+    """One row per version of a pool, from its first target until long after its last one.
+
+    :param table: table of the store for the rows.
+    """
+
+    def __init__(self, feed: FeedService, timers: Timers, table: str) -> None:
+        self._feed = feed
+        self._timers = timers
+        self._table = table
+        self._stored_keys: set[str] = set()
+        self._damaged_keys: set[str] = set()
+        self._keys_in_flight: set[str] = set()
+        self._is_read = False
+        self._is_removing = False
+
+    def start(self, on_read: Callable[[StoredVersions], None]) -> None:
+        """Read the rows; a failed read is repeated.
+
+        :param on_read: called once, with the rows.
+        """
+
+        def done(page: FeedPage | TableError) -> None:
+            if isinstance(page, TableError):
+                self._timers.after(_RETRY_DELAY_S, lambda: self.start(on_read))
+            else:
+                self._is_read = True
+                on_read(self._decode(page))
+
+        self._feed.read(self._table, done)
+
+    def save(self, versions: Iterable[PoolVersion], is_complete: bool) -> None:
+        """Write the rows of versions that are not stored; a failed write may be repeated later.
+
+        :param is_complete: whether these are the versions of all streams that may still be open.
+        """
+        if not self._is_read:
+            return
+        for version in sorted(versions):
+            self._put(_row_key(version), msgspec.msgpack.encode(version))
+        if is_complete and not self._keys_in_flight:
+            self._put(_COMPLETE_KEY, b"")
+
+    def remove_others(self, versions: Iterable[PoolVersion]) -> None:
+        """Remove the rows of all versions but the given ones, damaged rows included."""
+        kept = {_COMPLETE_KEY, *map(_row_key, versions)}
+        removed = sorted((self._stored_keys | self._damaged_keys) - kept)[:_REMOVED_PER_CALL]
+        if not removed or self._is_removing:
+            return
+        self._is_removing = True
+
+        def done(result: bool | TableError) -> None:
+            self._is_removing = False
+            if not isinstance(result, TableError):
+                self._stored_keys.difference_update(removed)
+                self._damaged_keys.difference_update(removed)
+
+        self._feed.remove_all(self._table, removed, done)
+
+    def _put(self, key: str, value: bytes) -> None:
+        if key in self._stored_keys or key in self._keys_in_flight:
+            return
+        self._keys_in_flight.add(key)
+
+        def done(result: bool | TableError) -> None:
+            if isinstance(result, TableError):
+                log_event(_LOGGER, "version_not_stored", logging.WARNING, key=key, reason=result)
+                self._timers.after(_RETRY_DELAY_S, lambda: self._keys_in_flight.discard(key))
+            else:
+                self._keys_in_flight.discard(key)
+                self._stored_keys.add(key)
+                self._damaged_keys.discard(key)
+
+        self._feed.put(self._table, key, value, done)
+
+    def _decode(self, page: FeedPage) -> StoredVersions:
+        versions = set()
+        for row in page.rows:
+            try:
+                if row.key != _COMPLETE_KEY:
+                    versions.add(msgspec.msgpack.decode(row.value, type=PoolVersion))
+                self._stored_keys.add(row.key)
+            except msgspec.MsgspecError as error:
+                self._damaged_keys.add(row.key)
+                text = f"row {row.key!r}: {error}"
+                log_event(_LOGGER, "versions_row_ignored", logging.WARNING, reason=text)
+        is_complete = _COMPLETE_KEY in self._stored_keys and not self._damaged_keys
+        return StoredVersions(frozenset(versions), is_complete, is_empty=not page.rows)
+
+
+def _row_key(version: PoolVersion) -> str:
+    return f"{version.pool}/{version.version}"[:200]
