Send nothing new to a target that says in a response that it leaves

Cause: no line read the notice; only the entry in the store counted, which may say ready until the target is gone, be away, or be late.

Change: TargetNotices keeps what targets state in their responses. A target that has stated to this router that it leaves gets only what arrives within the drain time, and that only if all others leave too, until its next lifetime, whatever its entry says. Other routers follow the load reports as a hint.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -17,6 +17,8 @@
 from .repeat_digest import repeat_digest
 from .requests import RequestSize, WaitingRequest
 from .suspicion import CrashRules
+from .target_availability import TargetAvailability
+from .target_notices import TargetNotices, TargetSignals
 from .usage import UsageLedger
 
 __all__ = [
@@ -36,9 +38,12 @@
     "RequestSize",
     "SheddingRules",
     "Suspect",
+    "TargetAvailability",
     "TargetLoads",
+    "TargetNotices",
     "TargetPromptCache",
     "TargetRateLimits",
+    "TargetSignals",
     "UsageLedger",
     "WaitingRequest",
     "repeat_digest",
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..membership import rendezvous
@@ -19,8 +19,8 @@
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets
 from .prompt_cache import PromptCacheIndex
-from .rate_limits import TargetRateLimits
 from .requests import RequestSize, WaitingRequest
+from .target_availability import TargetAvailability
 from .usage import UsageLedger
 
 __all__ = ["PoolAdmission"]
@@ -33,6 +33,10 @@
 _MAX_RETRY_AFTER_S = 4.0
 # A target that has crashed is often back with its version after a few seconds.
 _VERSION_RETRY_AFTER_S = 1.0
+# Time after a pause of all targets over which callers are asked to return.
+_PAUSE_SPREAD_S = 1.0
+# Multiples of this number, modulo 1, are spread evenly over the interval.
+_GOLDEN_RATIO = 0.618034
 # Weight of prefill time in the ranking of targets. It is above 1 because prefilling a shared part
 # again also evicts parts that other requests need.
 _PREFILL_WEIGHT = 3.0
@@ -56,25 +60,21 @@
 
 @dataclass(slots=True)
 class PoolAdmission:
-    """Admission of the requests to one pool at one router.
-
-    :ivar ejected_targets: returns the ids of the targets that get no requests at a given time,
-        because earlier requests to them failed.
-    """
+    """Admission of the requests to one pool at one router."""
 
     rules: AdmissionRules
     loads: TargetLoads
     usage: UsageLedger
     prompt_cache: PromptCacheIndex
     long_prompt_targets: LongPromptTargets
-    ejected_targets: Callable[[float], set[str]] = lambda now: set()
     crash_suspects: CrashSuspects = field(default_factory=CrashSuspects)
-    rate_limits: TargetRateLimits = field(default_factory=TargetRateLimits)
+    availability: TargetAvailability = field(default_factory=TargetAvailability)
     failure_domain: str = ""
     targets: list[Target] = field(default_factory=list)
     _waiting_by_id: dict[str, WaitingRequest] = field(default_factory=dict)
     _ids: list[str] = field(default_factory=list)
     _lifetimes: list[str] = field(default_factory=list)
+    _refused_in_pause: int = 0
 
     @property
     def waiting(self) -> int:
@@ -137,7 +137,7 @@
         request, target = placed.request, placed.target
         self.loads.record_sent(target.id, request.id, placed.uncached_tokens, now)
         self.prompt_cache.record_sent(target.lifetime, request.size)
-        self.rate_limits.take(target.lifetime, now)
+        self.availability.record_sent(target, now)
         self.usage.record_usage(request.organisation, request.size.cost, now)
 
     def refund(self, request: WaitingRequest, now: float) -> None:
@@ -151,7 +151,7 @@
         wait_s = min(
             max(
                 2 * self.loads.prefill_wait_s(target.id),
-                self.rate_limits.wait_s(target.lifetime, now),
+                self.availability.wait_s(target, now),
             )
             for target in self.targets
         )
@@ -163,11 +163,12 @@
         rejected = self._reject_quarantined(request, now)
         if rejected is not None:
             return rejected
-        if request.required_version is not None and not self._remaining_targets(request):
-            reason = f"no target runs version {request.required_version!r}, which began the stream"
-            return Refused(request, reason, _VERSION_RETRY_AFTER_S, "version_unavailable")
+        permitted = self.availability.permitted(self.targets, request)
         uncached_by_id = self._uncached_by_id(request.size)
-        target = self._select_target(request, uncached_by_id, now)
+        rejected = self._reject_unavailable(request, permitted, uncached_by_id, now)
+        if rejected is not None:
+            return rejected
+        target = self._select_target(request, permitted, uncached_by_id, now)
         if target is not None:
             placed = self._placed(request, target, uncached_by_id[target.id])
             self.record_sent(placed, now)
@@ -189,6 +190,33 @@
         reason = f"{quarantine.crashes} targets crashed on part {suspect.id} of the prompt"
         return Refused(request, reason, quarantine.retry_after_s, "quarantined")
 
+    def _reject_unavailable(
+        self,
+        request: WaitingRequest,
+        permitted: list[Target],
+        uncached_by_id: dict[str, int],
+        now: float,
+    ) -> Refused | None:
+        """Reject a request that no target will take in time, because none wants it.
+
+        :param permitted: see :meth:`TargetAvailability.permitted`.
+        """
+        if not permitted and request.required_version is not None:
+            reason = f"no target runs version {request.required_version!r}, which began the stream"
+            return Refused(request, reason, _VERSION_RETRY_AFTER_S, "version_unavailable")
+        if not permitted and self.availability.are_all_leaving(self.targets):
+            return self._refuse(request, "all targets are leaving", now)
+        notices = self.availability.notices
+        if not notices.has_pauses:
+            return None
+        pause_s = min((notices.pause_s(target, now) for target in permitted), default=0.0)
+        if pause_s <= 0.0 or now + pause_s < self._queue_until(request, uncached_by_id):
+            return None
+        # Spread evenly, so that the callers do not all return at the end of the pause.
+        self._refused_in_pause += 1
+        spread_s = _PAUSE_SPREAD_S * (self._refused_in_pause * _GOLDEN_RATIO % 1.0)
+        return Refused(request, "all targets want a pause", pause_s + spread_s)
+
     def _uncached_by_id(self, size: RequestSize) -> dict[str, int]:
         """Return the number of tokens that each target would have to prefill, by target id."""
         if not size.prompt_tokens:
@@ -230,12 +258,16 @@
         return Refused(request, reason, self.retry_after_s(now))
 
     def _select_target(
-        self, request: WaitingRequest, uncached_by_id: dict[str, int], now: float
+        self,
+        request: WaitingRequest,
+        permitted: list[Target],
+        uncached_by_id: dict[str, int],
+        now: float,
     ) -> Target | None:
-        usable = self._usable_targets(request, now)
+        usable = self.availability.without_ejected(permitted, now)
         slots_fraction, wait_factor = self._limits(request)
         running = self.loads.running_by_target
-        open_targets = self.rate_limits.without_limited(usable, now)
+        open_targets = self.availability.open_now(usable, now)
         available = [
             target
             for target in open_targets
@@ -257,27 +289,6 @@
                 return target
         return None
 
-    def _usable_targets(self, request: WaitingRequest, now: float) -> list[Target]:
-        """Return the targets that are neither excluded for the request nor ejected.
-
-        If all targets that are not excluded are ejected, returns these, because only a request
-        can show whether one of them works again.
-        """
-        remaining = self._remaining_targets(request)
-        ejected = self.ejected_targets(now)
-        if not ejected:
-            return remaining
-        return [target for target in remaining if target.id not in ejected] or remaining
-
-    def _remaining_targets(self, request: WaitingRequest) -> list[Target]:
-        """Return the targets that have not failed the request and may go on with its stream."""
-        remaining = self.targets
-        if request.excluded_target_ids:
-            remaining = [t for t in remaining if t.id not in request.excluded_target_ids]
-        if request.required_version is not None:
-            remaining = [t for t in remaining if t.version == request.required_version]
-        return remaining
-
     def _limits(self, request: WaitingRequest) -> tuple[float, float]:
         """Return the fraction of slots and the factor on the allowed wait for a request.
 
--- a/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/rate_limits.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass, field
 
 from ..messages import TargetLimit
-from ..targets import Target
 
 __all__ = ["TargetRateLimits"]
 
@@ -129,12 +128,6 @@
             return math.inf
         return (1.0 - limit.tokens) / limit.rate_per_s
 
-    def without_limited(self, targets: list[Target], now: float) -> list[Target]:
-        """Return the targets to which this router may send a request now."""
-        if not self._limit_by_lifetime:
-            return targets
-        return [target for target in targets if self.wait_s(target.lifetime, now) <= 0.0]
-
     def take(self, lifetime: str, now: float) -> None:
         """Count a request that is sent to a target."""
         self._add_tokens(lifetime, -1.0, now)
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -189,7 +189,7 @@
 )
 def test_ejected_targets_get_no_requests_unless_all_are_ejected(not_ejected, expected):
     pool = make(targets=2)
-    pool.ejected_targets = lambda now: {"t0", "t1"} - not_ejected
+    pool.availability.ejected_targets = lambda now: {"t0", "t1"} - not_ejected
     size = RequestSize()
     assert {submit(pool, id=str(i), size=size).target.id for i in range(4)} == expected
 
--- a/packages/parsleyrudder/parsleyrudder/relay_messages.py
+++ b/packages/parsleyrudder/parsleyrudder/relay_messages.py
@@ -113,6 +113,7 @@
         if the message is lost.
     :ivar suspect_crashes: what may crash targets.
     :ivar target_limits: rate limits that targets have stated recently.
+    :ivar leaving_targets: lifetimes of targets that have stated recently that they are leaving.
     """
 
     sender: str
@@ -126,6 +127,7 @@
     sent_parts: tuple[SentParts, ...] = ()
     suspect_crashes: tuple[SuspectCrashes, ...] = ()
     target_limits: tuple[TargetLimit, ...] = ()
+    leaving_targets: tuple[str, ...] = ()
 
 
 class ChangedRow(MessagePart, frozen=True):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/attempt.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from parsleyrudder import SendEnd, Target
+from parsleyrudder import SendEnd, Target, TargetSignals
 from parsleyrudder_adapters.http_client import Exchange
 
 from .dialect import Dialect, ResponseHead
@@ -16,8 +16,8 @@
 class AttemptOwner(Protocol):
     """Receiver of the events of the current attempt."""
 
-    def on_rate_limit(self, requests_per_s: float | None) -> None:
-        """Receive the rate limit in the head of a response or refusal, or None if it has none."""
+    def on_signals(self, signals: TargetSignals) -> None:
+        """Receive what the head of a response or refusal states about the target."""
         ...
 
     def on_attempt_head(self, head: ResponseHead) -> None:
@@ -77,7 +77,7 @@
     def on_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Handle the head of the response."""
         self.head = self._dialect.decode_response(status, headers)
-        self._owner.on_rate_limit(self.head.rate_limit_per_s)
+        self._owner.on_signals(self.head.signals)
         if not self.head.is_not_run and not self._is_finished:
             self._owner.on_attempt_head(self.head)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/context.py
@@ -12,6 +12,7 @@
     PromptCacheIndex,
     TargetDirectory,
     TargetLoads,
+    TargetNotices,
     TargetRateLimits,
     UsageLedger,
 )
@@ -53,6 +54,10 @@
     load_shedder: LoadShedder = field(default_factory=LoadShedder)
     metrics: Metrics = field(default_factory=Metrics)
     is_stopping: bool = False
+    notices: TargetNotices = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.notices = TargetNotices(drain_s=self.settings.bounds.drain_s)
 
     def router_count(self) -> int:
         """Return the number of known routers, including this one and those that are silent."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from parsleyrudder import Failure, RequestSize, RouterInfo, Row, Target, TrafficConfig
+from parsleyrudder import (
+    Failure,
+    RequestSize,
+    RouterInfo,
+    Row,
+    Target,
+    TargetSignals,
+    TrafficConfig,
+)
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.request_reader import CallerRequest
 
@@ -55,15 +63,14 @@
     :ivar is_not_run: whether the target states that it has not run the request.
     :ivar is_event_stream: whether the body is a stream of events.
     :ivar headers: headers to relay to the caller.
-    :ivar rate_limit_per_s: requests per second that the target accepts from all routers together;
-        None if it states no limit.
+    :ivar signals: what the target states about itself.
     """
 
     status: int
     is_not_run: bool
     is_event_stream: bool
     headers: list[tuple[str, str]]
-    rate_limit_per_s: float | None = None
+    signals: TargetSignals = field(default_factory=TargetSignals)
 
 
 class Dialect(Protocol):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -188,6 +188,7 @@
                     per_s=limit.requests_per_s,
                     reported_by=message.sender,
                 )
+        self._context.notices.record_report(message.leaving_targets)
         self._context.usage.record_report(message.sender, message.usage_by_organisation, at)
 
     def _gossip(self) -> None:
@@ -253,6 +254,7 @@
             sent_parts=tuple(SentParts(lifetime, parts) for lifetime, parts in unreported),
             suspect_crashes=self._crash_reports.prepare(at),
             target_limits=self._context.rate_limits.report(at),
+            leaving_targets=self._context.notices.report(at),
         )
         self._send_to_all(message)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -13,6 +13,7 @@
     PoolAdmission,
     RoutingRules,
     ServerInfo,
+    TargetAvailability,
 )
 
 from .context import RelayContext, now
@@ -22,6 +23,7 @@
     HealthListener,
     LoadListener,
     MetricsListener,
+    NoticeListener,
     OriginListener,
     RateLimitListener,
     RetryBudgetListener,
@@ -106,6 +108,7 @@
         self._context.prompt_cache.retain(lifetimes)
         self._context.crash_suspects.retain(lifetimes)
         self._context.rate_limits.retain(lifetimes)
+        self._context.notices.retain(lifetimes)
         self._origins.refresh_versions()
         self._update_capacity()
         self.poll()
@@ -143,8 +146,9 @@
             context.prompt_cache,
             context.long_prompt_targets,
             crash_suspects=context.crash_suspects,
-            rate_limits=context.rate_limits,
-            ejected_targets=health.ejected_servers,
+            availability=TargetAvailability(
+                context.rate_limits, context.notices, health.ejected_servers
+            ),
             failure_domain=domain,
         )
         retry_budget = FleetRetryBudget(rules, now())
@@ -152,6 +156,7 @@
             LoadListener(context.loads),
             CrashListener(context.crash_suspects),
             RateLimitListener(context.rate_limits),
+            NoticeListener(context.notices),
             UsageListener(admission),
             RetryBudgetListener(retry_budget),
             HealthListener(health),
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -14,6 +14,7 @@
     Route,
     SendEnd,
     Target,
+    TargetSignals,
     WaitingRequest,
     failure,
 )
@@ -151,8 +152,8 @@
     def _may_send(self, target: Target) -> bool:
         """Whether the request may still be sent to a target; checked just before it is sent.
 
-        The target must be unchanged, the caller still waiting before its deadline, and the request
-        not quarantined meanwhile.
+        The target must be unchanged and still want the request, the caller still waiting before its
+        deadline, and the request not quarantined meanwhile.
         """
         current = self.context.targets.by_id.get(target.id)
         return (
@@ -160,6 +161,7 @@
             and not current.is_leaving
             and current.address == target.address
             and current.started_ms == target.started_ms
+            and self.pool.admission.availability.may_send(target, self.waiting_request, now())
             and now() < self._relayed_request.deadline
             and not self._exchange.is_gone()
             and (self.waiting_request.is_trial or not self._is_quarantined())
@@ -169,9 +171,9 @@
         suspects = self.waiting_request.suspects
         return self.context.crash_suspects.quarantine(suspects, now()) is not None
 
-    def on_rate_limit(self, requests_per_s: float | None) -> None:
+    def on_signals(self, signals: TargetSignals) -> None:
         """See :class:`AttemptOwner`."""
-        self._sends.limit_stated(requests_per_s, now())
+        self._sends.signals_received(signals, now())
 
     def on_attempt_head(self, head: ResponseHead) -> None:
         """See :class:`AttemptOwner`."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/send_listeners.py
@@ -9,7 +9,9 @@
     PoolAdmission,
     SendEnd,
     TargetLoads,
+    TargetNotices,
     TargetRateLimits,
+    TargetSignals,
 )
 from parsleyrudder_adapters.logs import log_event
 
@@ -22,6 +24,7 @@
     "HealthListener",
     "LoadListener",
     "MetricsListener",
+    "NoticeListener",
     "OriginListener",
     "RateLimitListener",
     "RetryBudgetListener",
@@ -102,11 +105,11 @@
         """See :class:`SendListener`."""
         self._limits.refund(send.target.lifetime, at)
 
-    def on_limit(self, send: Send, requests_per_s: float | None, at: float) -> None:
+    def on_signals(self, send: Send, signals: TargetSignals, at: float) -> None:
         """See :class:`SendListener`."""
-        lifetime = send.target.lifetime
-        if self._limits.record_response(lifetime, requests_per_s, at):
-            log_event(_LOGGER, "target_limit_changed", lifetime=lifetime, per_s=requests_per_s)
+        lifetime, per_s = send.target.lifetime, signals.rate_limit_per_s
+        if self._limits.record_response(lifetime, per_s, at):
+            log_event(_LOGGER, "target_limit_changed", lifetime=lifetime, per_s=per_s)
 
     def on_end(self, send: Send, result: SendResult, at: float) -> None:
         """See :class:`SendListener`."""
@@ -114,6 +117,21 @@
             self._limits.refund(send.target.lifetime, at)
 
 
+class NoticeListener(SendListener):
+    """Keeps the targets that state that they are leaving, or that they want a pause."""
+
+    def __init__(self, notices: TargetNotices) -> None:
+        self._notices = notices
+
+    def on_signals(self, send: Send, signals: TargetSignals, at: float) -> None:
+        """See :class:`SendListener`."""
+        lifetime = send.target.lifetime
+        if signals.pause_s > 0.0:
+            log_event(_LOGGER, "target_paused", lifetime=lifetime, for_s=signals.pause_s)
+        if self._notices.record_response(lifetime, signals, at):
+            log_event(_LOGGER, "target_leaving", lifetime=lifetime)
+
+
 class UsageListener(SendListener):
     """Refunds the cost of requests that their targets have not run."""
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/sends.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/sends.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from parsleyrudder import SendEnd, Target, WaitingRequest
+from parsleyrudder import SendEnd, Target, TargetSignals, WaitingRequest
 
 __all__ = ["Send", "SendListener", "SendResult", "Sends"]
 
@@ -55,8 +55,8 @@
         """Learn that a request is about to be sent to a target."""
         return
 
-    def on_limit(self, send: Send, requests_per_s: float | None, at: float) -> None:
-        """Learn the rate limit that the head of a response states, or None if it states none."""
+    def on_signals(self, send: Send, signals: TargetSignals, at: float) -> None:
+        """Learn what the head of a response states about the target."""
         return
 
     def on_response_start(self, send: Send, at: float) -> None:
@@ -96,11 +96,11 @@
         for listener in self._listeners:
             listener.on_sent(send, at)
 
-    def limit_stated(self, requests_per_s: float | None, at: float) -> None:
-        """Record the rate limit in the head of a response."""
+    def signals_received(self, signals: TargetSignals, at: float) -> None:
+        """Record what the head of a response states about the target."""
         if self.current is not None:
             for listener in self._listeners:
-                listener.on_limit(self.current, requests_per_s, at)
+                listener.on_signals(self.current, signals, at)
 
     def response_started(self, at: float) -> bool:
         """Record that the response has begun; return False if that was known."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/state_report.py
@@ -72,6 +72,7 @@
         metrics.set_gauge("routers", len(context.view.live_routers(at)))
         metrics.set_gauge("targets", len(context.targets.by_id))
         metrics.set_gauge("targets_limited", context.rate_limits.limited_count())
+        metrics.set_gauge("targets_paused", context.notices.paused_count(at))
         metrics.set_gauge(
             "config_age_seconds", min(context.active_config.age_s(at), _MAX_REPORTED_AGE_S)
         )
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_attempt.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from parsleyrudder import SendEnd
+from parsleyrudder import SendEnd, TargetSignals
 from parsleyrudder_daemon.relay.attempt import Attempt
 
 
@@ -15,8 +15,8 @@
         self.received_bytes = 0
         self.ends = []
 
-    def on_rate_limit(self, requests_per_s):
-        self.rate_limit_per_s = requests_per_s
+    def on_signals(self, signals):
+        self.signals = signals
 
     def on_attempt_head(self, head):
         pass
@@ -36,7 +36,7 @@
     """Guards against a caller that waits until its deadline although the target has refused."""
     cancelled = []
     owner: Any = Owner()
-    head = SimpleNamespace(status=503, is_not_run=is_not_run, rate_limit_per_s=None)
+    head = SimpleNamespace(status=503, is_not_run=is_not_run, signals=TargetSignals())
     dialect: Any = SimpleNamespace(decode_response=lambda status, headers: head)
     target: Any = SimpleNamespace(id="t")
     attempt = Attempt(owner, dialect, target)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_relay_call.py
@@ -13,6 +13,7 @@
     Route,
     RouteKind,
     Target,
+    TargetAvailability,
     TargetDirectory,
     TargetLoads,
     TargetRateLimits,
@@ -92,6 +93,7 @@
         resubmit=lambda request, at: None,
         refund=lambda request, at: None,
         withdraw=lambda id: None,
+        availability=TargetAvailability(),
         retry_after_s=lambda at: 1.0,
     )
     pool: Any = SimpleNamespace(
