Answer requests that reach a router as it stops

Cause (report of a planned stop under load): at the end of its time for new connections a router accepted the waiting ones and closed all connections without a request in the same turn of the loop, those with unread requests included, which resets them. It also ended although a request was half received, or a response still buffered for a slow caller.

Change: a connection with unread input stays open; one that has had no request yet gets 0.5 s. A router is drained when no request is open or half received and all bytes are sent, within the stop time as before.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_sockets.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/caller_sockets.py
@@ -114,6 +114,18 @@
         connection.queued_bytes += len(data)
         self._set_interest(connection, writing=True)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes are buffered for any caller."""
+        return any(connection.queued_bytes for connection in self._connection_by_sock.values())
+
+    def has_input(self, sock: socket.socket) -> bool:
+        """Whether a caller has sent bytes that have not been read yet."""
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def buffered_bytes(self, sock: socket.socket) -> int:
         """Return the number of bytes that are buffered for a caller."""
         connection = self._connection_by_sock.get(sock)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
@@ -260,9 +260,24 @@
         """Number of open connections, idle ones included."""
         return self.request_reader.connection_count
 
-    def stop_listening(self) -> None:
-        """Accept the pending connections, then close the listening socket."""
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of a response is buffered for any caller."""
+        return self._sockets.has_unsent_bytes
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether no request is open and all responses have been sent, after :meth:`begin_stop`."""
+        return not (
+            self._exchange_by_sock
+            or self.request_reader.has_open_requests
+            or self._sockets.has_unsent_bytes
+        )
+
+    def begin_stop(self) -> None:
+        """Accept the pending connections, close the listening socket and the idle connections."""
         self._listener.stop_listening()
+        self.request_reader.begin_stop()
 
     def write(self, sock: socket.socket, data: bytes) -> None:
         """Send bytes of a response."""
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -52,6 +52,8 @@
 # Number of connections beyond the limit that still get an error response; further ones are closed
 # at once.
 _MAX_REFUSED_CONNECTIONS = 64
+# Time in which the first request on a connection is expected when no further ones are accepted.
+_FIRST_REQUEST_S = 0.5
 
 
 @dataclass(slots=True)
@@ -83,6 +85,11 @@
     timer: Timer | None = None
     timer_due: float = math.inf
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has begun whose response is not complete."""
+        return self.responding or bool(self.input) or self.parser is not None
+
 
 class RequestReader:
     """Reads and checks the requests on all connections.
@@ -108,6 +115,7 @@
         self._on_gone = on_gone
         self._on_refused = on_refused
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
+        self._is_stopping = False
         # Connections whose last response is complete, in the order of these responses.
         self._idle_socks: dict[socket.socket, None] = {}
 
@@ -126,11 +134,25 @@
         if connection is not None:
             connection.keep_alive = False
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has started."""
+    @property
+    def has_open_requests(self) -> bool:
+        """Whether a request may still be received or answered on any connection."""
+        return any(not connection.refused for connection in self._connection_by_sock.values())
+
+    def begin_stop(self) -> None:
+        """Close the connections on which no request has started, and the others when they are idle.
+
+        One with unread input stays open, and so does for a short time one that has had no request
+        yet, as its caller is about to send one.
+        """
+        self._is_stopping = True
         for sock, connection in list(self._connection_by_sock.items()):
-            if not connection.responding and not connection.input and connection.parser is None:
+            if connection.is_receiving or self.sockets.has_input(sock):
+                continue
+            if sock in self._idle_socks:
                 self.sockets.close(sock)
+            else:
+                self._set_deadline(sock, connection, _FIRST_REQUEST_S)
 
     def add_connection(self, sock: socket.socket) -> None:
         """Take over an accepted connection; beyond the limit, it replaces the longest idle one."""
@@ -167,6 +189,8 @@
         self._set_deadline(sock, connection, self._limits.idle_s)
         if connection.input:
             self._parse(sock, connection, is_new_request=True)
+        elif self._is_stopping and not self.sockets.has_input(sock):
+            self.sockets.close(sock)
         else:
             self._idle_socks[sock] = None
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -256,15 +256,14 @@
 
     def _stop_accepting(self) -> None:
         self._rejects_requests = True
-        self._http_server.stop_listening()
-        self._http_server.request_reader.close_idle()
+        self._http_server.begin_stop()
         self._check_drained()
 
     def _check_drained(self) -> None:
         assert self._stop_requested_at is not None
         limit_s = self._settings.bounds.stop_s - _STOP_MARGIN_S
         is_late = now() >= self._stop_requested_at + limit_s
-        if self._http_server.open_exchanges == 0 or is_late:
+        if self._http_server.is_drained or is_late:
             log_event(_LOGGER, "relay_stopped", cut=self._http_server.open_exchanges)
             self._link.close()
             self.stop()
