Keep a slow target while there is no other, and end streams that only trickle

Causes (report of slow streams that were cut and stalled ones that never ended): a request at a target that was silent beyond its limit was given up before it was known whether another target would take it; with none, its caller's stream was cut, or a safe request failed, though the target would have gone on. And each byte counted as a sign of life, so that a target that sends a comment or a byte now and then held its stream until the deadline.

Change: the silent target is given up once another one takes the request; only events other than comments count as activity of a stream.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -103,6 +103,15 @@
             self._waiting_by_id[request.id] = request
         return decision
 
+    def has_place(self, request: WaitingRequest, now: float) -> bool:
+        """Whether a target would get the request if it were submitted again now."""
+        permitted = self.availability.permitted(self.targets, request)
+        uncached_by_id = self._uncached_by_id(request.size)
+        return (
+            self._reject_quarantined(request, now) is None
+            and self._select_target(request, permitted, uncached_by_id, now) is not None
+        )
+
     def withdraw(self, id: str) -> None:
         """Remove a request from the queue if it is queued, as when its caller has left."""
         self._waiting_by_id.pop(id, None)
--- a/packages/parsleyrudder/parsleyrudder/delivery/event_filter.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/event_filter.py
@@ -16,10 +16,12 @@
     """Splits the bytes of each attempt into complete events and drops those already relayed.
 
     :ivar last_id: id of the last relayed event; None before the first one.
+    :ivar event_count: number of events to relay so far; comments are relayed, but do not count.
     :ivar error: why the rest of the stream is unusable, or an empty string.
     """
 
     last_id: int | None = None
+    event_count: int = 0
     error: str = ""
     _buffer: EventBuffer = field(default_factory=EventBuffer)
 
@@ -40,6 +42,7 @@
         relayed = [
             event + b"\n\n" for event in self._buffer.feed(data) if self._should_relay(event)
         ]
+        self.event_count += sum(not _is_comment(event) for event in relayed)
         if self._buffer.is_too_long:
             self.error = "an event is too large"
         return b"".join(relayed)
@@ -65,6 +68,11 @@
         return True
 
 
+def _is_comment(event: bytes) -> bool:
+    """Whether an event consists of comments only, which servers send to keep connections open."""
+    return all(line.startswith(b":") or not line for line in event.split(b"\n"))
+
+
 def _event_id(event: bytes) -> int | None:
     """Return the id of an event, or None if it has no numeric id."""
     for line in event.split(b"\n"):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -35,8 +35,8 @@
 __all__ = ["RelayCall"]
 
 _LOGGER = logging.getLogger(__name__)
-# Interval at which a request at a silent target tries to take retry budget.
-_BUDGET_RETRY_INTERVAL_S = 0.2
+# Interval at which a request at a silent target looks for another one.
+_SILENCE_CHECK_INTERVAL_S = 0.2
 # A response that is not a stream is buffered in memory before it is relayed.
 _MAX_RESPONSE_BYTES = 8 << 20
 # A connection that has been idle for longer may have gone silent, and a request that may run only
@@ -188,15 +188,18 @@
 
     def on_attempt_data(self, data: bytes) -> None:
         """See :class:`AttemptOwner`."""
-        self._trace.record_activity(now())
         if self._buffered is not None:
+            self._trace.record_activity(now())
             self._buffered.body += data
             if len(self._buffered.body) > _MAX_RESPONSE_BYTES:
                 self._abandon_attempt(
                     SendEnd.BROKEN, f"response exceeds {_MAX_RESPONSE_BYTES} bytes"
                 )
             return
+        event_count = self._event_filter.event_count
         events = self._event_filter.feed(data)
+        if self._event_filter.event_count > event_count:
+            self._trace.record_activity(now())
         if events and self._stream is not None:
             self._record_first_event()
             self._stream.write(events, self.context.timers)
@@ -336,14 +339,25 @@
         )
         if not has_attempts_left or self._attempt is None:
             return
-        # Without budget for a retry, only the silent target can still respond, so it is kept.
-        if self._attempt.is_sent and not self._take_retry_budget():
+        if not self._claim_other_target(self._attempt):
             self._silence_timer = self.context.timers.after(
-                _BUDGET_RETRY_INTERVAL_S, self._on_silence_timer
+                _SILENCE_CHECK_INTERVAL_S, self._on_silence_timer
             )
             return
-        self._has_reserved_retry = self._attempt.is_sent
-        self._abandon_attempt(SendEnd.SILENT, f"no data received for {limit_s:g} s")
+        self._abandon_attempt(SendEnd.SILENT, f"no event or data received for {limit_s:g} s")
+
+    def _claim_other_target(self, silent: Attempt) -> bool:
+        """Whether another target takes the request now, and the budget allows the retry.
+
+        Otherwise the silent target is kept, as only that one can still respond.
+        """
+        excluded = self.waiting_request.excluded_target_ids
+        excluded.add(silent.target.id)
+        if not self.pool.admission.has_place(self.waiting_request, now()):
+            excluded.discard(silent.target.id)
+            return False
+        self._has_reserved_retry = silent.is_sent and self._take_retry_budget()
+        return self._has_reserved_retry or not silent.is_sent
 
     def _on_silence_timer(self) -> None:
         if self._attempt is not None and not self._is_finished:
