Register a router again whose row in the store is gone

Cause (report of a machine that was only silent): others remove the row of a router that has been silent for 60 s. One that was only paused or cut off went on without a row, so that routers which started later could learn of it by gossip alone, and not at all after a restart of the others.

Change: a router that reads the rows and finds none of its own incarnation writes it again. Ruled out while looking: running requests are neither sent again nor cancelled when a router or a target falls silent.

test_peers_task, before and now: 3 of 4 cases failed | passed.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -299,14 +299,21 @@
         routers = len(self._context.view.live_routers(now()))
         self._schedule_read(_MIN_READ_INTERVAL_S * max(1.0, routers / _ROUTERS_PER_READ_INTERVAL))
         at = now()
+        is_registered = False
         for row in page.rows:
             try:
                 info = msgspec.msgpack.decode(row.value, type=RouterInfo)
             except msgspec.MsgspecError as error:
                 log_event(_LOGGER, "router_row_ignored", logging.WARNING, reason=error)
                 continue
+            own = self._context.view.own_info
+            is_registered |= info.name == own.name and info.incarnation >= own.incarnation
             self._context.view.add_unconfirmed(info, False, at)
             self._remove_row_if_dead(info, row.revision, at)
+        if not is_registered:
+            # Others remove the row of a router that is silent for long.
+            log_event(_LOGGER, "registration_lost")
+            self._register()
 
     def _remove_row_if_dead(self, info: RouterInfo, revision: int, at: float) -> None:
         """Remove the row of a router that is presumed dead after a long silence."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -4,8 +4,18 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
-from parsleyrudder import FleetView, Gossip, RouterInfo, RouterState, TargetLoads, UsageLedger
+from parsleyrudder import (
+    FeedPage,
+    FleetView,
+    Gossip,
+    RouterInfo,
+    RouterState,
+    Row,
+    TargetLoads,
+    UsageLedger,
+)
 from parsleyrudder_daemon.relay import peers_task
 from parsleyrudder_daemon.relay.peers_task import PeersTask
 
@@ -24,6 +34,10 @@
 class Store:
     def __init__(self):
         self.puts = 0
+        self.rows = []
+
+    def read(self, table, done):
+        done(FeedPage(self.rows, {}, 1, 0.0))
 
     def put(self, table, key, value, done):
         self.puts += 1
@@ -67,3 +81,17 @@
         task._raise_incarnation(Gossip("r", 1, True, False, (state,)))
     assert context.view.own_info.incarnation == 10
     assert len(context.timers.pending) == 1
+
+
+@pytest.mark.parametrize(
+    ("incarnations", "puts"), [({}, 2), ({"me": 1}, 1), ({"me": 0}, 2), ({"r0": 1}, 2)]
+)
+def test_a_router_registers_again_if_its_row_is_gone(monkeypatch, incarnations, puts):
+    """Others remove the row of a router that is silent for a minute, which may only be cut off."""
+    task, _ = make(monkeypatch, routers=2)
+    infos = [RouterInfo(name, number, "a", "h:1", "h:2") for name, number in incarnations.items()]
+    store: Any = task._feed
+    store.rows = [Row(info.name, msgspec.msgpack.encode(info), 1) for info in infos]
+    task._register()
+    task._read_rows()
+    assert store.puts == puts
