Accept a response that names no request only on a new connection

Cause (report of a late second copy of an answer): a response with another id is skipped, but one without an id was accepted on any connection. A second copy that lacks it, arriving after the next request was sent, would have been that caller's answer.

Change: on a connection that was used before, such a response ends the attempt as broken; nobody can tell whose it is.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -17,10 +17,10 @@
 from parsleyrudder import ResponseListener
 
 from .http_exchange import Connection, Exchange
-from .http_messages import HttpRequest, max_idle_s, serialize_request
+from .http_messages import HttpRequest, ResponseMatch, max_idle_s, serialize_request
 from .timers import Timers
 
-__all__ = ["Exchange", "HttpClient", "HttpRequest"]
+__all__ = ["Exchange", "HttpClient", "HttpRequest", "ResponseMatch"]
 
 _RECV_BYTES = 65536
 _MAX_IDLE_PER_ADDRESS = 8
@@ -299,10 +299,15 @@
         self, connection: Connection, exchange: Exchange, response: h11.Response
     ) -> None:
         headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in response.headers]
-        accepts_response = exchange.request.accepts_response
-        if accepts_response is not None and not accepts_response(response.status_code, headers):
+        match_response = exchange.request.match_response
+        match = match_response(headers) if match_response else ResponseMatch.OWN
+        if match is ResponseMatch.OTHER:
             connection.is_skipping_response = True
             return
+        if match is ResponseMatch.UNKNOWN and connection.is_reused:
+            # It may be a second copy of an earlier response.
+            self._fail_connection(connection, "a response names no request")
+            return
         connection.has_response_started = True
         connection.idle_until = time.monotonic() + max_idle_s(headers)
         if exchange.listener is not None:
@@ -344,6 +349,7 @@
             return
         self._set_interest(connection, reading=True)
         connection.used_at = time.monotonic()
+        connection.is_reused = True
         idle.append(connection)
 
     def _fail_connection(self, connection: Connection, reason: str) -> None:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -4,10 +4,11 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import h11
 
-__all__ = ["HttpRequest", "max_idle_s", "serialize_request"]
+__all__ = ["HttpRequest", "ResponseMatch", "max_idle_s", "serialize_request"]
 
 # Fraction of the idle timeout announced by the server after which a connection is not reused, so
 # that a request is not sent while the server closes the connection.
@@ -15,6 +16,16 @@
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]{1,9})", re.IGNORECASE)
 
 
+class ResponseMatch(Enum):
+    """Whether a response belongs to the request that is waiting for one."""
+
+    OWN = "own"
+    OTHER = "other"
+    """It belongs to an earlier request on the connection, and is skipped."""
+    UNKNOWN = "unknown"
+    """It names no request, so it is accepted only as the first one on its connection."""
+
+
 @dataclass(slots=True)
 class HttpRequest:
     """A request to send.
@@ -25,8 +36,7 @@
         gone silent since, which only the lack of a response shows.
     :ivar may_send: called just before the first byte is sent; if it returns False, the request
         fails without having been sent.
-    :ivar accepts_response: called with status and headers of each response; if it returns False,
-        the response belongs to an earlier request on the connection and is skipped.
+    :ivar match_response: called with the headers of each response.
     """
 
     method: str
@@ -36,7 +46,7 @@
     reuse: bool = False
     max_idle_s: float = math.inf
     may_send: Callable[[], bool] | None = None
-    accepts_response: Callable[[int, list[tuple[str, str]]], bool] | None = None
+    match_response: Callable[[list[tuple[str, str]]], ResponseMatch] | None = None
 
 
 def serialize_request(parser: h11.Connection, address: str, request: HttpRequest) -> bytes:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_client.py
@@ -7,7 +7,7 @@
 import threading
 
 import pytest
-from parsleyrudder_adapters.http_client import HttpClient, HttpRequest
+from parsleyrudder_adapters.http_client import HttpClient, HttpRequest, ResponseMatch
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
@@ -393,7 +393,9 @@
         "/",
         [],
         b"",
-        accepts_response=lambda status, headers: ("x-id", "other") not in headers,
+        match_response=lambda headers: (
+            ResponseMatch.OTHER if ("x-id", "other") in headers else ResponseMatch.OWN
+        ),
     )
     loop.call(lambda: client.send(server.address, request, listener))
     assert is_closed.wait(5.0)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -12,6 +12,7 @@
     TargetSignals,
     TrafficConfig,
 )
+from parsleyrudder_adapters.http_client import ResponseMatch
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.request_reader import CallerRequest
 
@@ -86,8 +87,8 @@
         """Return the headers of the request to a target."""
         ...
 
-    def is_response_to(self, id: str, status: int, headers: list[tuple[str, str]]) -> bool:
-        """Whether a response on a connection belongs to the request with the given id."""
+    def match_response(self, id: str, headers: list[tuple[str, str]]) -> ResponseMatch:
+        """Return whether a response on a connection belongs to the request with the given id."""
         ...
 
     def decode_response(self, status: int, headers: list[tuple[str, str]]) -> ResponseHead:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -139,8 +139,8 @@
             reuse=True,
             max_idle_s=math.inf if route.is_idempotent else _MAX_IDLE_IF_RUN_ONCE_S,
             may_send=lambda: self._may_send(target),
-            accepts_response=lambda status, headers: self.context.dialect.is_response_to(
-                self._request.id, status, headers
+            match_response=lambda headers: self.context.dialect.match_response(
+                self._request.id, headers
             ),
         )
         self._event_filter.begin_attempt()
