--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -47,6 +47,9 @@
             task.start()
         return self.task_by_name[name]
 
+    def targets(self):
+        return {v: Target(v, "p", "10.0.0.1:1", "a", 4, version=v) for v in self.versions}
+
     def refresh(self):
         for task in list(self.task_by_name.values()):
             task.refresh()
@@ -87,11 +90,10 @@
             active_routers=lambda at: [n for n in self.names if n not in self.dead],
             info=info_by_name.get,
         )
-        targets = {v: Target(v, "p", "10.0.0.1:1", "a", 4, version=v) for v in self.versions}
         return SimpleNamespace(
             view=view,
             metrics=Metrics(),
-            targets=SimpleNamespace(by_id=targets),
+            targets=SimpleNamespace(by_id=self.targets()),
             active_config=SimpleNamespace(age_s=lambda at: 0.0),
             settings=SimpleNamespace(
                 bounds=SimpleNamespace(apply_s=2.0), first_start=self.first_start
@@ -225,3 +227,70 @@
         if number % 100 == 99:
             network.advance(0.25)
     assert network.stream_feed.puts <= 11
+
+
+class RandomHistory:
+    """A random course of streams, versions and faults of routers and of the store."""
+
+    def __init__(self, network, rng):
+        self.network = network
+        self.rng = rng
+        self.version_by_stream: dict[str, str] = {}
+
+    def begin(self):
+        stream = f"s{len(self.version_by_stream)}"
+        version = self.version_by_stream[stream] = self.rng.choice(self.network.versions)
+        self.network[self.live()].record_began(stream, "p", version)
+
+    def live(self):
+        names = [name for name in self.network.names if name not in self.network.dead]
+        return self.rng.choice(names)
+
+    def wait(self):
+        self.network.advance(self.rng.choice([0.05, 0.3, 1.5, 40.0]))
+        self.network.refresh()
+
+    def release(self):
+        """Replace the versions, or add or remove one; each router reads it from the store."""
+        number = len(self.version_by_stream) + self.rng.randrange(1000)
+        kept = self.network.versions[-self.rng.randrange(2) :]
+        self.network.versions = self.rng.choice([kept, (*kept, f"v{number}"), (f"v{number}",)])
+        for task in self.network.task_by_name.values():
+            task._context.targets.by_id = self.network.targets()
+            task.refresh_versions()
+
+    def kill(self):
+        self.network.restart_all()
+        for name in self.network.names:
+            self.network[name]
+
+    def restart(self):
+        name = self.live()
+        if name in self.network.task_by_name:
+            self.network.restart(name)
+
+    def part(self):
+        count = min(self.rng.randrange(3), len(self.network.names) - 1)
+        self.network.dead = set(self.rng.sample(self.network.names, count))
+
+    def fail_store(self):
+        self.network.stream_feed.failures = self.rng.randrange(4)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_no_history_lets_a_stream_go_on_at_another_version(monkeypatch, seed):
+    """Whatever fails, a version is the right one or unknown."""
+    rng = random.Random(seed)
+    network = Network(monkeypatch, rng.choice([1, 3, 5]), ("v1",))
+    history = RandomHistory(network, rng)
+    run_until_stored(network)
+    known = 0
+    for _ in range(120):
+        rare = rng.choice([history.release, history.kill, history.restart, history.part])
+        rng.choice([history.begin, history.begin, history.wait, rare, history.fail_store])()
+        if history.version_by_stream:
+            stream = rng.choice(list(history.version_by_stream))
+            found = network.find(history.live(), stream)
+            assert found in (None, history.version_by_stream[stream])
+            known += found is not None
+    assert known
