--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_http_client.py
@@ -134,6 +134,13 @@
         True,
     ),
     "ended by close": (respond(b"HTTP/1.0 200 OK\r\n\r\nab"), 200, b"ab", True, True),
+    "reset instead of the end by close": (
+        respond(b"HTTP/1.0 200 OK\r\n\r\nab", reset=True),
+        None,
+        None,
+        False,
+        True,
+    ),
     "1xx first": (
         respond(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n" + OK),
         200,
