Stop the daemon's HTTP server as the relay's is stopped

Change: the daemon begins the stop in the same way, and exits once its responses are sent, or at its stop deadline, which also mends the requests that it cut off there.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -177,11 +177,17 @@
         self.spares_task.stop()
         self.fleet_task.unregister()
         # Connections accepted from here on would be closed without a response.
-        self._http_server.stop_listening()
+        self._http_server.begin_stop()
         log_event(_LOGGER, "router_stopped", reason=reason)
         self.context.timers.after(_EXIT_DELAY_S, self._exit)
 
     def _exit(self) -> None:
+        """Exit once the responses are sent, or at the stop deadline."""
+        assert self._stopping_at is not None
+        deadline = self._stopping_at + self.settings.router.stop_timeout_s
+        if not self._http_server.is_drained and self.context.now() < deadline:
+            self.context.timers.after(_DRAIN_CHECK_INTERVAL_S, self._exit)
+            return
         self._link.close()
         self.stop()
 
