Name the remedy where parsleyctl and the stand-ins get odd input

A number that was cut off in a log ended explain with a ValueError, and a log that can't be read gave the exit code of a table service that does not answer; a status document with fields missing ended status with a KeyError; a misspelt kind of stand-in started the instance list.

--- a/packages/parsleyctl/parsleyctl/explain.py
+++ b/packages/parsleyctl/parsleyctl/explain.py
@@ -6,10 +6,12 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+from parsleyrudder import RudderError
+
 from .exits import Exit
 from .output import Output
 
-__all__ = ["LogLine", "RequestTrace", "explain", "parse_line", "trace_request"]
+__all__ = ["LogFileError", "LogLine", "RequestTrace", "explain", "parse_line", "trace_request"]
 
 _PAIR = re.compile(r'(?:^|\s)([a-z_0-9]+)=(?:"((?:[^"\\]|\\.)*)"|([^\s"]*))')
 # Time before and after a request whose events are shown as its context.
@@ -58,6 +60,10 @@
 }
 
 
+class LogFileError(RudderError):
+    """A log can't be read."""
+
+
 @dataclass(slots=True, frozen=True)
 class LogLine:
     """One event of one router.
@@ -98,12 +104,12 @@
 def explain(output: Output, id: str, paths: list[Path]) -> Exit:
     """Print the log lines of a request, their context and the cause of its end.
 
-    :raises OSError: if a file can't be read.
+    :raises LogFileError: if a file can't be read.
     """
     lines: list[LogLine] = []
     skipped = 0
     for path in paths:
-        for text in path.read_text(errors="replace").splitlines():
+        for text in _read_log(path).splitlines():
             line = parse_line(text)
             if line is None:
                 skipped += 1
@@ -127,6 +133,14 @@
     return Exit.OK if trace.lines else Exit.INCOMPLETE
 
 
+def _read_log(path: Path) -> str:
+    try:
+        return path.read_text(errors="replace")
+    except OSError as error:
+        reason = f"can't read {path}: {error.strerror}"
+        raise LogFileError(reason, "name files with the routers' logs that you may read") from error
+
+
 def parse_line(text: str) -> LogLine | None:
     """Parse one line of a log; return None if it is truncated or not an event.
 
@@ -182,13 +196,21 @@
         f" ({line.fields.get('reason')})"
         for line in failed_sends
     ]
-    if float(end.fields.get("position") or 0.0) > 1.0:
+    if _number(end, "position") > 1.0:
         parts.append("its organisation was above its share")
     if outcome.startswith("deadline") and "first_ms" not in end.fields:
         parts.append("no part of an answer had come")
     return "; ".join(parts)
 
 
+def _number(line: LogLine, name: str) -> float:
+    """Return a number of a line; 0 if it is missing, or cut off with the end of the line."""
+    try:
+        return float(line.fields.get(name) or 0.0)
+    except ValueError:
+        return 0.0
+
+
 def _keep_last_state(nearby: list[LogLine], first: float) -> list[LogLine]:
     """Drop the periodic ``state`` lines but the last one of each router before the request."""
     last_by_router = {
@@ -202,13 +224,11 @@
 def _describe_logs(ordered: list[LogLine]) -> list[str]:
     """Describe which logs were given, so that the operator can find the missing one."""
     names = sorted({line.router for line in ordered})
-    dropped = sum(
-        int(line.fields.get("count") or 0) for line in ordered if line.event == "log_lines_dropped"
-    )
+    dropped = sum(_number(line, "count") for line in ordered if line.event == "log_lines_dropped")
     notes = [f"logs of {len(names)} routers were given: {', '.join(names) or 'none'}"]
     notes.append("the log of the router that the caller called may lack")
     if dropped:
-        notes.append(f"{dropped} lines were dropped by the bound on log lines")
+        notes.append(f"{dropped:.0f} lines were dropped by the bound on log lines")
     return notes
 
 
--- a/packages/parsleyctl/parsleyctl/fleet_commands.py
+++ b/packages/parsleyctl/parsleyctl/fleet_commands.py
@@ -1,20 +1,27 @@
 """Commands on the running fleet: status, waiting for a version, draining, audit."""
 
 import http.client
-import json
 import time
 import uuid
 from collections.abc import Iterable
 from typing import Any
 
 import msgspec
-from parsleyrudder import Put, Range, Txn
+from parsleyrudder import Put, Range, RudderError, Txn
 
 from .exits import Exit
 from .output import Output
 from .submission import BlockingTable
 
-__all__ = ["audit", "drain", "router_status", "status", "wait_for_version"]
+__all__ = [
+    "RouterStatus",
+    "StatusError",
+    "audit",
+    "drain",
+    "router_status",
+    "status",
+    "wait_for_version",
+]
 
 _DRAIN_PREFIX = "drain/"
 _AUDIT_PREFIX = "audit/"
@@ -31,56 +38,98 @@
     target: str
 
 
-def router_status(address: str) -> dict[str, Any] | None:
-    """Return a router's status document, or None if it does not answer."""
+class _SlotStatus(msgspec.Struct):
+    held: int
+    used: int
+
+
+class _PoolStatus(msgspec.Struct):
+    """State of one pool at one router, as far as it is shown."""
+
+    coordinator: str
+    epoch: int
+    slots: dict[str, _SlotStatus]
+    waiting: dict[str, int]
+    served: dict[str, float]
+
+
+class RouterStatus(msgspec.Struct):
+    """Status of one router, as far as it is shown."""
+
+    router: str
+    failure_domain: str
+    ready: bool
+    reason: str
+    config_version: int
+    table_up: bool
+    live: list[str]
+    pools: dict[str, _PoolStatus]
+
+
+class StatusError(RudderError):
+    """A router does not tell its status."""
+
+
+def router_status(address: str) -> RouterStatus:
+    """Return a router's status.
+
+    :raises StatusError: if it does not answer, or not with a status document.
+    """
     connection = http.client.HTTPConnection(address, timeout=_STATUS_TIMEOUT_S)
     try:
         connection.request("GET", "/status")
-        return json.loads(connection.getresponse().read())
-    except (OSError, http.client.HTTPException, ValueError):
-        return None
+        return msgspec.json.decode(connection.getresponse().read(), type=RouterStatus)
+    except (OSError, http.client.HTTPException) as error:
+        raise StatusError("no answer", "check the address and the router's log") from error
+    except msgspec.MsgspecError as error:
+        text = f"no status document: {error}"
+        raise StatusError(text, "name a router of the same release as parsleyctl") from error
     finally:
         connection.close()
 
 
 def status(output: Output, routers: Iterable[str]) -> Exit:
     """Show routers, pools, and members' service received and waiting calls."""
-    document_by_router = {address: router_status(address) for address in routers}
-    documents = [document for document in document_by_router.values() if document]
-    output.result({"routers": document_by_router, "members": _member_totals(documents)}, [])
+    status_by_address = {address: _status_or_error(address) for address in routers}
+    known = [status for status in status_by_address.values() if isinstance(status, RouterStatus)]
+    documents = {
+        address: msgspec.to_builtins(status) if isinstance(status, RouterStatus) else None
+        for address, status in status_by_address.items()
+    }
+    output.result({"routers": documents, "members": _member_totals(known)}, [])
     output.table(
         "Routers",
         ("router", "failure domain", "ready", "version", "table", "live peers"),
         [
             (
                 (
-                    document["router"],
-                    document["failure_domain"],
-                    "yes" if document["ready"] else document["reason"],
-                    document["config_version"],
-                    "up" if document["table_up"] else "down",
-                    len(document["live"]),
+                    status.router,
+                    status.failure_domain,
+                    "yes" if status.ready else status.reason,
+                    status.config_version,
+                    "up" if status.table_up else "down",
+                    len(status.live),
                 )
-                if document
-                else (address, "", "no answer", "", "", "")
+                if isinstance(status, RouterStatus)
+                else (address, "", status.message, "", "", "")
             )
-            for address, document in document_by_router.items()
+            for address, status in status_by_address.items()
         ],
     )
     output.table(
         "Pools",
         ("pool", "router", "coordinator", "epoch", "slots held", "in use", "waiting"),
-        _pool_rows(documents),
+        _pool_rows(known),
     )
     output.table(
         "Members",
         ("pool", "member", "service received", "waiting"),
         [
             (row["pool"], row["member"], f"{row['served']:.0f}", row["waiting"])
-            for row in _member_totals(documents)
+            for row in _member_totals(known)
         ],
     )
-    return Exit.OK if len(documents) == len(document_by_router) else Exit.UNAVAILABLE
+    return Exit.OK if len(known) == len(status_by_address) else Exit.UNAVAILABLE
 
 
 def wait_for_version(
@@ -91,8 +140,8 @@
     total, deadline = len(pending), time.monotonic() + timeout_s
     while pending and time.monotonic() < deadline:
         for address in sorted(pending):
-            document = router_status(address)
-            if document is not None and document["config_version"] >= version:
+            status = _status_or_error(address)
+            if isinstance(status, RouterStatus) and status.config_version >= version:
                 pending.discard(address)
         done = total - len(pending)
         output.progress(f"version {version} in force on {done} of {total} routers")
@@ -144,30 +193,37 @@
     return Exit.OK
 
 
-def _pool_rows(documents: list[dict[str, Any]]) -> Iterable[tuple[object, ...]]:
-    for document in documents:
-        for name, pool in sorted(document["pools"].items()):
-            slots = pool["slots"].values()
+def _status_or_error(address: str) -> RouterStatus | StatusError:
+    try:
+        return router_status(address)
+    except StatusError as error:
+        return error
+
+
+def _pool_rows(statuses: list[RouterStatus]) -> Iterable[tuple[object, ...]]:
+    for status in statuses:
+        for name, pool in sorted(status.pools.items()):
+            slots = pool.slots.values()
             yield (
                 name,
-                document["router"],
-                pool["coordinator"],
-                pool["epoch"],
-                sum(slot["held"] for slot in slots),
-                sum(slot["used"] for slot in slots),
-                sum(pool["waiting"].values()),
+                status.router,
+                pool.coordinator,
+                pool.epoch,
+                sum(slot.held for slot in slots),
+                sum(slot.used for slot in slots),
+                sum(pool.waiting.values()),
             )
 
 
-def _member_totals(documents: list[dict[str, Any]]) -> list[dict[str, Any]]:
+def _member_totals(statuses: list[RouterStatus]) -> list[dict[str, Any]]:
     """Return service received and waiting calls per pool and member, summed over routers."""
     served: dict[tuple[str, str], float] = {}
     waiting: dict[tuple[str, str], int] = {}
-    for document in documents:
-        for pool, state in document["pools"].items():
-            for member, cost in state["served"].items():
+    for status in statuses:
+        for pool, state in status.pools.items():
+            for member, cost in state.served.items():
                 served[pool, member] = served.get((pool, member), 0.0) + cost
-            for member, count in state["waiting"].items():
+            for member, count in state.waiting.items():
                 waiting[pool, member] = waiting.get((pool, member), 0) + count
     return [
         {
--- a/packages/parsleyctl/parsleyctl/main.py
+++ b/packages/parsleyctl/parsleyctl/main.py
@@ -41,7 +41,7 @@
 
 from . import fleet_commands, list_commands
 from .exits import Exit
-from .explain import explain
+from .explain import LogFileError, explain
 from .output import Output
 
 __all__ = ["run"]
@@ -88,6 +88,9 @@
     except OSError as error:
         output.errors([error])
         return Exit.UNAVAILABLE
+    except LogFileError as error:
+        output.errors([error])
+        return Exit.USAGE
     except RudderError as error:
         output.errors([error])
         return Exit.REFUSED
--- a/packages/parsleyctl/parsleyctl/tests/test_explain.py
+++ b/packages/parsleyctl/parsleyctl/tests/test_explain.py
@@ -2,7 +2,7 @@
 
 import pytest
 from parsleyctl.exits import Exit
-from parsleyctl.explain import explain, parse_line, trace_request
+from parsleyctl.explain import LogFileError, explain, parse_line, trace_request
 from parsleyctl.output import Output
 
 STAMP = "time=2026-12-04T05:00:{:06.3f}Z level=info router={} "
@@ -87,3 +87,26 @@
     assert parsed.event == "e"
     assert parsed.fields["request"] == "p"
     assert parsed.fields["reason"] == 'x request=q "y" event=f'
+
+
+@pytest.mark.parametrize(
+    ("text", "cut"),
+    [(REFUSED, "position=1."), (REFUSED, "position=x"), (REFUSED, "position=")],
+)
+def test_a_damaged_number_does_not_end_the_explanation(text, cut):
+    """A line that was cut within a number ended it with a ValueError."""
+    assert "no_server" in trace_of(line(1, text.replace("position=1.8", cut))).cause
+
+
+def test_a_damaged_count_of_dropped_lines_is_left_out():
+    dropped = [
+        line(1, "event=log_lines_dropped count=3"),
+        line(2, "event=log_lines_dropped count=-x"),
+    ]
+    assert "3 lines were dropped by the bound on log lines" in trace_of(*dropped).missing
+
+
+def test_a_log_that_can_not_be_read_is_named_with_the_remedy(tmp_path):
+    """It gave the exit code of a table service that does not answer."""
+    with pytest.raises(LogFileError, match="no-such.log.*name files"):
+        explain(Output(False), "q", [tmp_path / "no-such.log"])
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/serve.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/serve.py
@@ -1,7 +1,7 @@
 """Runs several stand-ins in one process: ``python -m parsleyrudder_standins.serve SPEC.json``.
 
 The JSON file holds a list of objects with ``kind``, ``port`` and the parameters of the stand-in's
-class. A kind is ``engine``, ``service``, ``table``, or any other for the instance list.
+class. A kind is ``engine``, ``service``, ``table`` or ``instances``.
 """
 
 import asyncio
@@ -21,7 +21,10 @@
 
 
 async def run(specs: list[dict[str, Any]]) -> None:
-    """Serve until SIGTERM."""
+    """Serve until SIGTERM.
+
+    :raises ValueError: if a kind is unknown.
+    """
     background = []
     for spec in specs:
         parameters = {k: v for k, v in spec.items() if k not in ("kind", "port")}
@@ -33,8 +36,12 @@
             handler = ServiceStandIn(**parameters).handle
         elif spec["kind"] == "table":
             handler = TableStandIn().handle
-        else:
+        elif spec["kind"] == "instances":
             handler = InstanceListStandIn(**parameters).handle
+        else:
+            raise ValueError(
+                f"unknown kind {spec['kind']!r}: use engine, service, table or instances"
+            )
         background.append(
             asyncio.ensure_future((await serve(handler, spec["port"])).serve_forever())
         )
