Keep a pause of up to ten minutes that a target asks for

The bound of 60 s was shorter than a target may ask for, so that a router would have sent requests before the end of the pause. The test failed with 60 s.

--- a/packages/parsleyrudder/parsleyrudder/admission/target_notices.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/target_notices.py
@@ -16,7 +16,7 @@
 # Time for which a notice of leaving is repeated to other routers, as messages may be lost.
 _REPORT_REPEAT_S = 3.0
 _MAX_LEAVING = 4096
-_MAX_PAUSE_S = 60.0
+_MAX_PAUSE_S = 600.0
 # Time after a pause in which the number of requests to the target rises again.
 _RAMP_S = 1.0
 
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_target_availability.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_target_availability.py
@@ -142,3 +142,12 @@
     assert not availability.may_send(target, waiting, 0.5)
     availability.record_sent(target, 1.0)
     assert availability.may_send(target, waiting, 1.0)
+
+
+@pytest.mark.parametrize(("asked_s", "paused_s"), [(120.0, 120.0), (1e9, 600.0)])
+def test_a_long_pause_is_kept_up_to_a_bound(asked_s, paused_s):
+    """Sixty seconds were the bound, after which a target was sent requests within its pause."""
+    notices = TargetNotices()
+    notices.record_response("t/0", pause(asked_s), 0.0)
+    assert notices.is_paused("t/0", paused_s - 1.0)
+    assert not notices.is_paused("t/0", paused_s)
