Cut log lines by bytes, count partial ones, and escape control characters

A line was cut by characters, so that one of others than ASCII could exceed what a pipe takes at once; a line that was written in part was joined with the next one and not counted; carriage returns and tabs went out as they are, and explain did not restore line feeds.

--- a/packages/parsleyctl/parsleyctl/explain.py
+++ b/packages/parsleyctl/parsleyctl/explain.py
@@ -14,6 +14,8 @@
 __all__ = ["LogFileError", "LogLine", "RequestTrace", "explain", "parse_line", "trace_request"]
 
 _PAIR = re.compile(r'(?:^|\s)([a-z_0-9]+)=(?:"((?:[^"\\]|\\.)*)"|([^\s"]*))')
+_ESCAPED = re.compile(r"\\(.)")
+_CHAR_BY_ESCAPE = {"n": "\n", "r": "\r", "t": "\t"}
 # Time before and after a request whose events are shown as its context.
 _CONTEXT_BEFORE_S = 3.0
 _CONTEXT_AFTER_S = 0.5
@@ -28,6 +30,7 @@
         "quarantine_began",
         "quarantine_ended",
         "readiness_changed",
+        "registration_lost",
         "relay_started",
         "relay_stopped",
         "relay_stopping",
@@ -36,6 +39,9 @@
         "store_lost",
         "stream_origin_unknown",
         "target_ejected",
+        "target_leaving",
+        "target_paused",
+        "versions_read",
     }
 )
 _CAUSE_BY_OUTCOME = {
@@ -149,7 +155,7 @@
     """
     pairs: dict[str, str] = {}
     for name, quoted, bare in _PAIR.findall(text):
-        value = re.sub(r"\\(.)", r"\1", quoted) if quoted else bare
+        value = _ESCAPED.sub(_unescape, quoted) if quoted else bare
         pairs[name] = value
     try:
         timestamp = datetime.fromisoformat(pairs.pop("time").replace("Z", "+00:00")).timestamp()
@@ -158,6 +164,10 @@
         return None
 
 
+def _unescape(escaped: re.Match[str]) -> str:
+    return _CHAR_BY_ESCAPE.get(escaped[1], escaped[1])
+
+
 def trace_request(id: str, lines: Iterable[LogLine]) -> RequestTrace:
     """Return the trace of a request from the lines of all logs, in any order."""
     ordered = sorted(lines, key=lambda line: line.timestamp)
--- a/packages/parsleyctl/parsleyctl/tests/test_explain.py
+++ b/packages/parsleyctl/parsleyctl/tests/test_explain.py
@@ -110,3 +110,10 @@
     """It gave the exit code of a table service that does not answer."""
     with pytest.raises(LogFileError, match="no-such.log.*name files"):
         explain(Output(False), "q", [tmp_path / "no-such.log"])
+
+
+def test_escaped_characters_of_a_value_are_restored():
+    text = 'time=2026-12-04T05:00:00Z router=r event=e reason="a\\tb\\r\\n\\"c\\"\\\\"'
+    parsed = parse_line(text)
+    assert parsed is not None
+    assert parsed.fields["reason"] == 'a\tb\r\n"c"\\'
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/logs.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/logs.py
@@ -8,8 +8,10 @@
 __all__ = ["BoundedLogHandler", "log_event", "set_up_logging"]
 
 _MAX_LINES_PER_S_AND_LOGGER = 200
-_MAX_LINE_CHARS = 4000
+# Writes to a pipe are atomic up to PIPE_BUF, 4096 bytes on Linux.
+_MAX_LINE_BYTES = 4096
 _CHARS_TO_QUOTE = frozenset(' "=\\\n\r\t')
+_ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r", "\t": "\\t"})
 
 
 def set_up_logging(router: str, level: str = "INFO", fd: int | None = None) -> None:
@@ -44,6 +46,8 @@
         self._second = 0
         self._lines_this_second_by_logger: Counter[str] = Counter()
         self._unreported = 0
+        # Whether the last line was written in part only, so that the next one has to end it.
+        self._is_line_open = False
         self.dropped = 0
         os.set_blocking(fd, False)
 
@@ -69,12 +73,19 @@
             self._write(self.format(line))
 
     def _write(self, line: str) -> None:
-        # Lines are truncated: pipe writes are atomic only up to PIPE_BUF (4096 bytes on Linux).
-        data = (line[:_MAX_LINE_CHARS] + "\n").encode("utf-8", "replace")
+        data = (b"\n" if self._is_line_open else b"") + line.encode("utf-8", "replace")
+        if len(data) >= _MAX_LINE_BYTES:
+            # A character that is cut at the end is left out.
+            data = data[: _MAX_LINE_BYTES - 1].decode("utf-8", "ignore").encode()
+        data += b"\n"
         try:
-            os.write(self._fd, data)
+            count = os.write(self._fd, data)
         except OSError:
             self._drop()
+            return
+        self._is_line_open = count < len(data)
+        if self._is_line_open:
+            self._drop()
 
     def _drop(self) -> None:
         self._unreported += 1
@@ -106,12 +117,11 @@
         line = f"{head} router={self._router} {record.getMessage()}"
         if record.exc_info:
             line += f" trace={_format_value(self.formatException(record.exc_info))}"
-        return line.replace("\n", "\\n")
+        return line.replace("\n", "\\n").replace("\r", "\\r")
 
 
 def _format_value(value: object) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
     if text and not _CHARS_TO_QUOTE.intersection(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
-    return f'"{escaped}"'
+    return f'"{text.translate(_ESCAPES)}"'
