Split the modules that this work made long

The state of a caller's connection and the tests of endless bytes have modules of their own, the log line of a failed send is written by the trace, and the pauses of several targets are looked up by TargetAvailability. No change of behaviour; the tests of the packages and of the relay pass.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -215,10 +215,7 @@
             return Refused(request, reason, _VERSION_RETRY_AFTER_S, "version_unavailable")
         if not permitted and self.availability.are_all_leaving(self.targets):
             return self._refuse(request, "all targets are leaving", now)
-        notices = self.availability.notices
-        if not notices.has_pauses:
-            return None
-        pause_s = min((notices.pause_s(target, now) for target in permitted), default=0.0)
+        pause_s = self.availability.pause_s(permitted, now)
         if pause_s <= 0.0 or now + pause_s < self._queue_until(request, uncached_by_id):
             return None
         # Spread evenly, so that the callers do not all return at the end of the pause.
--- a/packages/parsleyrudder/parsleyrudder/admission/target_availability.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/target_availability.py
@@ -60,6 +60,12 @@
             return targets
         return [target for target in targets if target.id not in ejected] or targets
 
+    def pause_s(self, targets: list[Target], now: float) -> float:
+        """Return the time until the first of the targets wants no pause any more; 0 for none."""
+        if not self.notices.has_pauses:
+            return 0.0
+        return min((self.notices.pause_s(target, now) for target in targets), default=0.0)
+
     def open_now(self, targets: list[Target], now: float) -> list[Target]:
         """Return the targets that want a request from this router now."""
         if not self.rate_limits.limited_count() and not self.notices.has_pauses:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -14,16 +14,16 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import h11
 from parsleyrudder import Failure, failure
 
+from .caller_connection import CallerConnection
 from .caller_request import CallerRequest, RequestLimits, origin_form
 from .caller_sockets import CallerSockets
 from .chunk_sizes import ChunkSizeParser
 from .logs import log_event
-from .timers import Timer, Timers
+from .timers import Timers
 
 __all__ = ["CallerRequest", "RequestLimits", "RequestReader", "error_body"]
 
@@ -56,41 +56,6 @@
 _FIRST_REQUEST_S = 0.5
 
 
-@dataclass(slots=True)
-class _Connection:
-    """State of one connection and of the request that is being received on it.
-
-    :ivar input: bytes received and not parsed yet.
-    :ivar scanned_bytes: number of bytes of ``input`` already searched for the end of the head.
-    :ivar head_bytes: length of the head at the start of ``input``, until it is parsed.
-    :ivar chunk_sizes: parser of the chunk sizes, if the body is chunked.
-    :ivar parser: parser of the request, once its head has been received.
-    :ivar responding: whether a request was delivered and its response is not complete.
-    :ivar refused: whether an error response was sent and further input is ignored.
-    :ivar deadline: time by which the caller must send; infinite while responding.
-    :ivar timer_due: time at which the timer fires; if the deadline is later, it is set again then.
-    """
-
-    input: bytearray = field(default_factory=bytearray)
-    scanned_bytes: int = 0
-    head_bytes: int = 0
-    chunk_sizes: ChunkSizeParser | None = None
-    parser: h11.Connection | None = None
-    request: h11.Request | None = None
-    body: bytearray = field(default_factory=bytearray)
-    keep_alive: bool = False
-    responding: bool = False
-    refused: bool = False
-    deadline: float = math.inf
-    timer: Timer | None = None
-    timer_due: float = math.inf
-
-    @property
-    def is_receiving(self) -> bool:
-        """Whether a request has begun whose response is not complete."""
-        return self.responding or bool(self.input) or self.parser is not None
-
-
 class RequestReader:
     """Reads and checks the requests on all connections.
 
@@ -114,7 +79,7 @@
         self._on_request = on_request
         self._on_gone = on_gone
         self._on_refused = on_refused
-        self._connection_by_sock: dict[socket.socket, _Connection] = {}
+        self._connection_by_sock: dict[socket.socket, CallerConnection] = {}
         self._is_stopping = False
         # Connections whose last response is complete, in the order of these responses.
         self._idle_socks: dict[socket.socket, None] = {}
@@ -162,7 +127,7 @@
         if excess >= _MAX_REFUSED_CONNECTIONS:
             sock.close()
             return
-        connection = self._connection_by_sock[sock] = _Connection()
+        connection = self._connection_by_sock[sock] = CallerConnection()
         self.sockets.add(sock)
         if excess >= 0:
             text = f"{self._limits.connections} connections are open"
@@ -226,7 +191,9 @@
         if connection.responding:
             self._on_gone(sock)
 
-    def _parse(self, sock: socket.socket, connection: _Connection, is_new_request: bool) -> None:
+    def _parse(
+        self, sock: socket.socket, connection: CallerConnection, is_new_request: bool
+    ) -> None:
         """Parse the available input.
 
         :param is_new_request: whether the input begins with the first bytes of a request.
@@ -247,7 +214,7 @@
         elif is_new_request and not connection.responding:
             self._set_deadline(sock, connection, self._limits.request_s)
 
-    def _parse_head(self, connection: _Connection) -> Failure | None:
+    def _parse_head(self, connection: CallerConnection) -> Failure | None:
         """Check the bytes of the head; create a parser once the head is complete."""
         head = connection.input
         if head.startswith(b"\r\n"):
@@ -280,7 +247,7 @@
         connection.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
         return None
 
-    def _process_events(self, sock: socket.socket, connection: _Connection) -> Failure | None:
+    def _process_events(self, sock: socket.socket, connection: CallerConnection) -> Failure | None:
         """Process the parsed events; return why the request is refused, or None."""
         parser = connection.parser
         assert parser is not None
@@ -305,7 +272,7 @@
             else:
                 return None
 
-    def _check_chunk_sizes(self, connection: _Connection, data: bytes) -> Failure | None:
+    def _check_chunk_sizes(self, connection: CallerConnection, data: bytes) -> Failure | None:
         """Refuse a body by the declared sizes of its chunks, before its data has arrived."""
         body = data[connection.head_bytes :]
         connection.head_bytes = 0
@@ -337,7 +304,7 @@
             return failure("body_too_large", f"body over {self._limits.body_bytes} bytes")
         return None
 
-    def _deliver(self, sock: socket.socket, connection: _Connection) -> None:
+    def _deliver(self, sock: socket.socket, connection: CallerConnection) -> None:
         request = connection.request
         assert request is not None
         connection.deadline = math.inf
@@ -359,7 +326,9 @@
         )
         self._on_request(sock, caller_request)
 
-    def _set_deadline(self, sock: socket.socket, connection: _Connection, delay_s: float) -> None:
+    def _set_deadline(
+        self, sock: socket.socket, connection: CallerConnection, delay_s: float
+    ) -> None:
         """Set a new deadline; a timer that fires before it is kept, which is the usual case."""
         connection.deadline = time.monotonic() + delay_s
         if connection.timer_due > connection.deadline:
@@ -367,12 +336,12 @@
                 connection.timer.cancel()
             self._set_timer(sock, connection)
 
-    def _set_timer(self, sock: socket.socket, connection: _Connection) -> None:
+    def _set_timer(self, sock: socket.socket, connection: CallerConnection) -> None:
         connection.timer_due = connection.deadline
         delay_s = connection.deadline - time.monotonic()
         connection.timer = self._timers.after(delay_s, lambda: self._on_timer(sock, connection))
 
-    def _on_timer(self, sock: socket.socket, connection: _Connection) -> None:
+    def _on_timer(self, sock: socket.socket, connection: CallerConnection) -> None:
         connection.timer, connection.timer_due = None, math.inf
         if connection.responding or connection.refused:
             return
@@ -385,7 +354,7 @@
         text = f"the request was not whole after {self._limits.request_s:g} s"
         self._refuse(sock, connection, failure("request_timeout", text))
 
-    def _refuse(self, sock: socket.socket, connection: _Connection, refusal: Failure) -> None:
+    def _refuse(self, sock: socket.socket, connection: CallerConnection, refusal: Failure) -> None:
         """Send an error response and close, as the start of the next request is not known."""
         connection.refused = True
         connection.input.clear()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -1,6 +1,5 @@
 """Course of one caller's request: admission, attempts at targets, response to the caller."""
 
-import logging
 import math
 from collections.abc import Callable
 
@@ -20,7 +19,6 @@
 )
 from parsleyrudder_adapters.http_client import HttpRequest
 from parsleyrudder_adapters.http_server import CallerExchange
-from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timer
 
 from .attempt import Attempt
@@ -34,7 +32,6 @@
 
 __all__ = ["RelayCall"]
 
-_LOGGER = logging.getLogger(__name__)
 # Interval at which a request at a silent target looks for another one.
 _SILENCE_CHECK_INTERVAL_S = 0.2
 # A response that is not a stream is buffered in memory before it is relayed.
@@ -238,21 +235,7 @@
         is_withheld = end is SendEnd.NOT_SENT and not self._may_send(attempt.target)
         is_failure = None if is_withheld or end is SendEnd.REFUSED else True
         self._end_attempt(end, is_failure)
-        log_event(
-            _LOGGER,
-            "send_failed",
-            request=self._request.id,
-            target=attempt.target.id,
-            lifetime=attempt.target.lifetime,
-            version=attempt.target.version or None,
-            end=end,
-            responding=send.has_answered,
-            digest=self.waiting_request.digest,
-            parts=",".join(part.id for part in self.waiting_request.size.parts) or None,
-            organisation=self.waiting_request.organisation or None,
-            sent_count=self._relayed_request.sent_count,
-            reason=reason,
-        )
+        self._trace.log_failed_send(send, end, self._relayed_request.sent_count, reason)
         if is_withheld and self._exchange.is_gone():
             self._finish("caller_left")
             return
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -1,11 +1,13 @@
-"""Log line of one request: the decision, its inputs and the outcome."""
+"""Log lines of one request: its failed sends, and the decision, its inputs and the outcome."""
 
 import logging
 from dataclasses import dataclass, field
 
-from parsleyrudder import Placed, RelayedRequest, WaitingRequest
+from parsleyrudder import Placed, RelayedRequest, SendEnd, WaitingRequest
 from parsleyrudder_adapters.logs import log_event
 
+from .sends import Send
+
 __all__ = ["RequestTrace"]
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,6 +60,28 @@
         if self.response_started_at is None:
             self.response_started_at = at
 
+    def log_failed_send(self, send: Send, end: SendEnd, sent_count: int, reason: str) -> None:
+        """Write the log line of a send that has failed.
+
+        :param sent_count: number of sends so far that may have reached a target.
+        """
+        request, target = send.request, send.target
+        log_event(
+            _LOGGER,
+            "send_failed",
+            request=self.id,
+            target=target.id,
+            lifetime=target.lifetime,
+            version=target.version or None,
+            end=end,
+            responding=send.has_answered,
+            digest=request.digest,
+            parts=",".join(part.id for part in request.size.parts) or None,
+            organisation=request.organisation or None,
+            sent_count=sent_count,
+            reason=reason,
+        )
+
     def log(
         self,
         relayed_request: RelayedRequest,
