Sum up the load reports of large fleets by failure domain

Cause: each router reported its load to every other one. At 195 routers each received 100 messages a second, of loads up to 2 s old; receiving them took most of a router's processor time (a profile of one of 30 idle routers: 2,423 turns of the event loop in 23 s, four fifths of them for reports), and four fifths of the bytes crossed failure domains, a dear price there.

Ruled out: the decision code of the reports (5.8 ms a second) and rarer heartbeats of the connections (docs/measurements/2026-12-04-hundreds.md).

Change: above 16 routers, two aggregators per failure domain sum up the reports every 0.25 s (decision 0007). Smaller fleets report as before. The reports have a task of their own, apart from membership. The test of the silence limit tells both limits now from both sides; that a router of 200 may be silent for 2 s was true of the old interval only.

test_load_reports, the test of messages per router, on the old exchange by its constants: 100 a second at 59 and 195 routers, 12 allowed.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -8,6 +8,7 @@
 from .crash_evidence import Crash, Suspect
 from .crash_suspects import CrashSuspects, Quarantine
 from .decisions import Decision, Placed, Refused
+from .load_digests import LoadAggregator, OwnReports
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets, PromptVolume
@@ -27,8 +28,10 @@
     "CrashRules",
     "CrashSuspects",
     "Decision",
+    "LoadAggregator",
     "LoadShedder",
     "LongPromptTargets",
+    "OwnReports",
     "Placed",
     "PoolAdmission",
     "PromptCacheIndex",
--- a/packages/parsleyrudder/parsleyrudder/admission/loads.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/loads.py
@@ -92,6 +92,11 @@
         self._report_by_router[router] = (now, report_by_target)
         self._add_report_to_totals(router, 1)
 
+    def remove_report(self, router: str) -> None:
+        """Remove the report of another router, which is counted by other means now."""
+        self._add_report_to_totals(router, -1)
+        self._report_by_router.pop(router, None)
+
     def local_report(self) -> dict[str, LoadReport]:
         """Return this router's load by target, to report to other routers."""
         return {
@@ -112,8 +117,7 @@
             for router, (received_at, _) in self._report_by_router.items()
             if now - received_at > limit_s
         ]:
-            self._add_report_to_totals(router, -1)
-            del self._report_by_router[router]
+            self.remove_report(router)
 
     def running(self, target: str) -> int:
         """Return the number of requests that all routers have at a target."""
--- a/packages/parsleyrudder/parsleyrudder/admission/usage.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/usage.py
@@ -71,6 +71,10 @@
         """Store the newest report of another router; :meth:`refresh` applies it."""
         self._report_by_router[router] = (now, usage_by_organisation)
 
+    def remove_report(self, router: str) -> None:
+        """Remove the report of another router, which is counted by other means now."""
+        self._report_by_router.pop(router, None)
+
     def refresh(self, now: float) -> None:
         """Drop expired reports, and recompute the sums and the max-min fair shares."""
         self._decay(now)
--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -11,8 +11,10 @@
 from .message_base import BaseMessage, MessagePart
 from .relay_messages import (
     ChangedRow,
+    LoadDigest,
     LoadMessage,
     LoadReport,
+    MemberState,
     OrganisationUsage,
     OriginReply,
     OriginRequest,
@@ -34,9 +36,11 @@
     "Gossip",
     "Grant",
     "Holding",
+    "LoadDigest",
     "LoadMessage",
     "LoadReport",
     "MemberReport",
+    "MemberState",
     "MemberTotal",
     "Message",
     "OrganisationUsage",
@@ -275,6 +279,7 @@
     | ConfigRequest
     | ConfigReply
     | LoadMessage
+    | LoadDigest
     | TableNews
     | StreamStarts
     | OriginRequest
--- a/packages/parsleyrudder/parsleyrudder/relay_messages.py
+++ b/packages/parsleyrudder/parsleyrudder/relay_messages.py
@@ -6,8 +6,10 @@
 
 __all__ = [
     "ChangedRow",
+    "LoadDigest",
     "LoadMessage",
     "LoadReport",
+    "MemberState",
     "OrganisationUsage",
     "OriginReply",
     "OriginRequest",
@@ -114,6 +116,8 @@
     :ivar suspect_crashes: what may crash targets.
     :ivar target_limits: rate limits that targets have stated recently.
     :ivar leaving_targets: lifetimes of targets that have stated recently that they are leaving.
+    :ivar entitled_demand: demand that the sender's callers are entitled to; see
+        :meth:`UsageLedger.entitled_by_router`.
     """
 
     sender: str
@@ -128,6 +132,45 @@
     suspect_crashes: tuple[SuspectCrashes, ...] = ()
     target_limits: tuple[TargetLimit, ...] = ()
     leaving_targets: tuple[str, ...] = ()
+    entitled_demand: float = 0.0
+
+
+class MemberState(MessagePart, frozen=True):
+    """What a digest tells of each router; see :class:`LoadMessage`.
+
+    :ivar sequence: number of the newest report that the digest includes.
+    :ivar age_ms: milliseconds since this report.
+    """
+
+    sequence: int
+    age_ms: int
+    accepts_requests: bool
+    entitled_demand: float = 0.0
+
+
+class LoadDigest(BaseMessage, frozen=True):
+    """Sum of the load reports of several routers; each digest replaces the previous one.
+
+    :ivar domain: failure domain of the sender.
+    :ivar covers_fleet: whether the sum covers the routers of all failure domains, or those of the
+        sender's.
+    :ivar members: the routers that are included, by name.
+
+    For the other fields, see :class:`LoadMessage`.
+    """
+
+    sender: str
+    domain: str
+    covers_fleet: bool
+    members: dict[str, MemberState] = {}
+    load_by_target: dict[str, LoadReport] = {}
+    usage_by_organisation: dict[str, OrganisationUsage] = {}
+    long_prompt_tokens: float = 0.0
+    all_prompt_tokens: float = 0.0
+    sent_parts: tuple[SentParts, ...] = ()
+    suspect_crashes: tuple[SuspectCrashes, ...] = ()
+    target_limits: tuple[TargetLimit, ...] = ()
+    leaving_targets: tuple[str, ...] = ()
 
 
 class ChangedRow(MessagePart, frozen=True):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -39,6 +39,7 @@
 from .context import RelayContext, now
 from .crash_reports import CrashReports
 from .dialect import Dialect, StoreDecoder
+from .load_reports import LoadReports
 from .origin_task import OriginTask
 from .peers_task import PeersTask
 from .quarantine_store import QuarantineStore
@@ -140,13 +141,15 @@
         feed = make_feed(client, self._watch_rules.response_timeout_s)
         quarantines = QuarantineStore(feed, timers, decoder.quarantine_table)
         crash_reports = CrashReports(self.context, quarantines)
-        self.peers = PeersTask(self.context, feed, decoder.router_table, crash_reports, rng)
+        self.reports = LoadReports(self.context, crash_reports)
+        self.peers = PeersTask(self.context, feed, decoder.router_table, self.reports, rng)
         try:
             self._link = PeerLink(settings.peers, None, self._on_message).register(self)
         except zmq.ZMQError as error:
             text = f"can't listen on {settings.peers}: {error}"
             raise SettingsError(text, _ADDRESS_REMEDY) from error
         self.peers.link = self._link
+        self.reports.link = self._link
         self.origins = OriginTask(
             self.context,
             VersionStore(feed, timers, decoder.version_table),
@@ -229,6 +232,7 @@
         for watch in self._watch_by_table.values():
             watch.start()
         self.peers.start()
+        self.reports.start()
         self.origins.start()
         self._check_expiry()
         self._state_report.start()
@@ -287,6 +291,7 @@
     def _on_message(self, message: Message) -> None:
         if not isinstance(message, TableNews):
             self.peers.on_message(message)
+            self.reports.on_message(message)
             self.origins.on_message(message)
         elif message.table in self._watch_by_table:
             self._watch_by_table[message.table].on_news(message)
@@ -365,7 +370,7 @@
         if len(self.context.targets.by_id) != count_before:
             self.api.pools.refresh()
         is_ready = self.readiness_failure() is None
-        self.peers.accepts_requests = is_ready
+        self.reports.accepts_requests = is_ready
         if is_ready != self._was_ready:
             self._was_ready = is_ready
             log_event(_LOGGER, "readiness_changed", ready=is_ready)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -1,4 +1,4 @@
-"""Exchange of membership and load between the routers of a fleet."""
+"""Membership of the fleet: gossip between the routers, and their rows in the store."""
 
 import logging
 import random
@@ -8,11 +8,8 @@
     FeedPage,
     FeedService,
     Gossip,
-    LoadMessage,
     Message,
-    PromptVolume,
     RouterInfo,
-    SentParts,
     TableError,
     TableNews,
 )
@@ -21,20 +18,13 @@
 from parsleyrudder_adapters.timers import Timer
 
 from .context import RelayContext, now
-from .crash_reports import CrashReports
+from .load_reports import LoadReports
 from .row_removal import log_failed_removal, remove_row
 
 __all__ = ["PeersTask"]
 
 _LOGGER = logging.getLogger(__name__)
 _GOSSIP_INTERVAL_S = 0.5
-_MIN_REPORT_INTERVAL_S = 0.1
-_MIN_REFRESH_INTERVAL_S = 0.15
-# Fraction of a report interval after which sums are recomputed, if it exceeds the minimum.
-_REFRESH_FRACTION = 0.5
-# Above this number of routers the report interval grows in proportion, so that the number of
-# messages that a router receives per second stays bounded.
-_ROUTERS_PER_REPORT_INTERVAL = 10
 _MIN_READ_INTERVAL_S = 20.0
 # Above this number of routers the read interval grows in proportion, so that the number of calls
 # of the fleet to the store stays bounded.
@@ -42,18 +32,13 @@
 # Delay of the read after a registration or after a failed read.
 _SHORT_READ_DELAY_S = 1.0
 _GOSSIP_FAN_OUT = 2
-_MIN_SILENCE_LIMIT_S = 1.0
 # Two readers, so that the failure of one does not have to be detected at once.
 _READER_COUNT = 2
-# Number of report intervals without a message after which callers are referred to other routers.
-_SILENCE_LIMIT_INTERVALS = 2.5
-# Number of report intervals after which a router's reported load expires.
-_REPORT_EXPIRY_INTERVALS = 4.0
 _DEAD_ROW_EXPIRY_S = 60.0
 
 
 class PeersTask:
-    """Task for gossip, load reports and the registration of this router.
+    """Task for gossip and the registration of this router.
 
     :param router_table: table of the store in which the routers register to find each other.
     """
@@ -63,36 +48,29 @@
         context: RelayContext,
         feed: FeedService,
         router_table: str,
-        crash_reports: CrashReports,
+        reports: LoadReports,
         rng: random.Random,
     ) -> None:
         self._context = context
         self._feed = feed
         self._router_table = router_table
         self._rng = rng
-        self._sequence = 0
-        self._sequence_by_router: dict[str, tuple[int, int]] = {}
-        self._unready_routers: set[str] = set()
         self._is_registered = False
         self._row_first_seen_at: dict[tuple[str, int], float] = {}
         self._read_timer: Timer | None = None
-        self._crash_reports = crash_reports
+        self._reports = reports
         self.link: PeerLink | None = None
-        self.accepts_requests = False
 
     def start(self) -> None:
-        """Start gossip, reports and registration."""
-        self._crash_reports.start()
+        """Start gossip and registration."""
         self._gossip()
-        self._report()
-        self._refresh()
         self._register()
 
     def announce_leaving(self) -> None:
         """Tell all peers that this router is leaving, so that callers are referred to others."""
-        self.accepts_requests = False
+        self._reports.accepts_requests = False
         self._context.view.leaving = True
-        self._send_report()
+        self._reports.send()
         for info in self._context.view.peers(now()):
             self._send_gossip(info.peer_address, reply=False)
 
@@ -103,10 +81,10 @@
     def routers_for_callers(self) -> list[RouterInfo]:
         """Return the routers that callers should use; at least one."""
         view, at = self._context.view, now()
-        limit_s = max(_MIN_SILENCE_LIMIT_S, _SILENCE_LIMIT_INTERVALS * self._report_interval_s())
+        limit_s = self._reports.silence_limit_s()
         live = [name for name in view.active_routers(at) if view.silence_s(name, at) < limit_s]
-        unready = set(self._unready_routers)
-        if not self.accepts_requests:
+        unready = set(self._reports.unready_routers)
+        if not self._reports.accepts_requests:
             unready.add(view.own_info.name)
         # If no router is ready, all live ones are returned, as none is better than another.
         names = [name for name in live if name not in unready] or live or [view.own_info.name]
@@ -124,8 +102,6 @@
         """Handle a message from another router."""
         if isinstance(message, Gossip):
             self._on_gossip(message)
-        elif isinstance(message, LoadMessage):
-            self._on_load(message)
 
     def _on_gossip(self, gossip: Gossip) -> None:
         self._raise_incarnation(gossip)
@@ -166,38 +142,6 @@
             log_event(_LOGGER, "incarnation_raised", incarnation=view.own_info.incarnation)
             self._register()
 
-    def _on_load(self, message: LoadMessage) -> None:
-        view, at = self._context.view, now()
-        newest = self._sequence_by_router.get(message.sender, (0, 0))
-        if (
-            message.incarnation,
-            message.sequence,
-        ) <= newest or message.sender == view.own_info.name:
-            return
-        self._sequence_by_router[message.sender] = (message.incarnation, message.sequence)
-        view.record_alive(message.sender, message.incarnation, at)
-        if message.accepts_requests:
-            self._unready_routers.discard(message.sender)
-        else:
-            self._unready_routers.add(message.sender)
-        self._context.loads.record_report(message.sender, message.load_by_target, at)
-        volume = PromptVolume(message.long_prompt_tokens, message.all_prompt_tokens)
-        self._context.long_prompt_targets.record_report(message.sender, volume, at)
-        for entry in message.sent_parts:
-            self._context.prompt_cache.record_reported(entry.lifetime, entry.parts)
-        self._crash_reports.receive(message.suspect_crashes, at)
-        for limit in message.target_limits:
-            if self._context.rate_limits.record_report(limit, at):
-                log_event(
-                    _LOGGER,
-                    "target_limit_reported",
-                    lifetime=limit.lifetime,
-                    per_s=limit.requests_per_s,
-                    reported_by=message.sender,
-                )
-        self._context.notices.record_report(message.leaving_targets)
-        self._context.usage.record_report(message.sender, message.usage_by_organisation, at)
-
     def _gossip(self) -> None:
         self._context.timers.after(_GOSSIP_INTERVAL_S, self._gossip)
         peers = self._context.view.sample_peers(_GOSSIP_FAN_OUT, self._rng)
@@ -222,53 +166,6 @@
         if self.link is not None:
             self.link.send(address, message)
 
-    def _report(self) -> None:
-        interval_s = self._report_interval_s()
-        self._context.timers.after(interval_s, self._report)
-        self._context.loads.expire_reports(now(), _REPORT_EXPIRY_INTERVALS * interval_s)
-        self._send_report()
-
-    def _report_interval_s(self) -> float:
-        routers = len(self._context.view.live_routers(now()))
-        return _MIN_REPORT_INTERVAL_S * max(1.0, routers / _ROUTERS_PER_REPORT_INTERVAL)
-
-    def _refresh(self) -> None:
-        """Recompute the sums of the reports.
-
-        This runs periodically and not for each report, because a large fleet sends many.
-        """
-        interval_s = max(_MIN_REFRESH_INTERVAL_S, _REFRESH_FRACTION * self._report_interval_s())
-        self._context.timers.after(interval_s, self._refresh)
-        view, at = self._context.view, now()
-        self._context.usage.refresh(at)
-        self._context.long_prompt_targets.refresh(at)
-        entitled = self._context.usage.entitled_by_router(view.own_info.name)
-        demand_by_router = {name: entitled.get(name, 0.0) for name in view.active_routers(at)}
-        self._context.rate_limits.set_routers(view.own_info.name, demand_by_router, at)
-
-    def _send_report(self) -> None:
-        at = now()
-        self._sequence += 1
-        loads = self._context.loads.local_report()
-        usage = self._context.usage.local_report(at)
-        unreported = self._context.prompt_cache.take_unreported()
-        volume = self._context.long_prompt_targets.local_report(at)
-        message = LoadMessage(
-            sender=self._context.view.own_info.name,
-            incarnation=self._context.view.own_info.incarnation,
-            sequence=self._sequence,
-            accepts_requests=self.accepts_requests,
-            load_by_target=loads,
-            usage_by_organisation=usage,
-            long_prompt_tokens=volume.long_prompt_tokens,
-            all_prompt_tokens=volume.all_prompt_tokens,
-            sent_parts=tuple(SentParts(lifetime, parts) for lifetime, parts in unreported),
-            suspect_crashes=self._crash_reports.prepare(at),
-            target_limits=self._context.rate_limits.report(at),
-            leaving_targets=self._context.notices.report(at),
-        )
-        self._send_to_all(message)
-
     def _send_to_all(self, message: Message) -> None:
         """Send a message to all other live routers."""
         if self.link is None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -17,7 +17,8 @@
     UsageLedger,
 )
 from parsleyrudder.messages import encode_message
-from parsleyrudder_daemon.relay import peers_task
+from parsleyrudder_daemon.relay import load_reports, peers_task
+from parsleyrudder_daemon.relay.load_reports import LoadReports
 from parsleyrudder_daemon.relay.peers_task import PeersTask
 
 
@@ -47,6 +48,7 @@
 
 def make(monkeypatch, routers, now=100.0):
     monkeypatch.setattr(peers_task, "now", lambda: now)
+    monkeypatch.setattr(load_reports, "now", lambda: now)
     view = FleetView(RouterInfo("me", 1, "a", "h:1", "h:2"))
     for number in range(routers - 1):
         view.update_router(RouterInfo(f"r{number}", 1, "a", f"h{number}:1", ""), 1, False, 98.0)
@@ -60,18 +62,22 @@
         usage=UsageLedger(),
     )
     store: Any = Store()
-    reports: Any = SimpleNamespace()
+    crash_reports: Any = SimpleNamespace()
+    reports = LoadReports(context, crash_reports)
+    reports.accepts_requests = True
+    reports._update_role()
     return PeersTask(context, store, "routers", reports, random.Random(1)), context
 
 
-@pytest.mark.parametrize(("routers", "expected"), [(7, 1), (200, 200)])
-def test_silence_limit_follows_the_report_interval(monkeypatch, routers, expected):
-    """All routers were last heard 2 s ago.
-
-    That is too long if the fleet reports every 0.1 s, but not if it reports every 2 s.
-    """
-    task, _ = make(monkeypatch, routers)
-    task.accepts_requests = True
+@pytest.mark.parametrize(
+    ("routers", "silence_s", "expected"),
+    [(7, 0.9, 7), (7, 1.1, 1), (200, 1.6, 200), (200, 2.0, 1)],
+)
+def test_silence_limit_follows_the_time_that_reports_take(
+    monkeypatch, routers, silence_s, expected
+):
+    """Few routers report to each other every 0.1 s, many through aggregators every 0.25 s."""
+    task, _ = make(monkeypatch, routers, now=98.0 + silence_s)
     assert len(task.routers_for_callers()) == expected
 
 
