--- a/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/launcher.py
@@ -6,6 +6,7 @@
 import contextlib
 import http.client
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -33,6 +34,8 @@
 
 __all__ = ["Fleet", "RouterProcess", "free_ports", "get_json", "post_json", "wait_listening"]
 
+# Below the ephemeral ports that Linux assigns to outgoing connections.
+_PORTS = (10_000, 32_000)
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 20.0
 
@@ -310,12 +313,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are currently free on the loopback interface."""
+    """Return ports that are currently free on the loopback interface.
+
+    They are outside of the ephemeral range, from which an outgoing connection could otherwise be
+    assigned one before its process listens.
+    """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        while len(ports) < count:
+            sock = stack.enter_context(socket.socket())
+            port = random.randrange(*_PORTS)
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                ports.append(port)
+    return ports
 
 
 def get_json(address: str, path: str) -> Any:
