Log which limit kept the targets from a request that is refused

"no target can begin the request in time" did not tell whether the targets of the required version were full, had too much to prefill, or were not there. The refusal carries the number of targets that each limit leaves, and the request's log line has them with the required version.

--- a/packages/parsleyrudder/parsleyrudder/admission/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/__init__.py
@@ -7,7 +7,7 @@
 from .admission_rules import AdmissionRules
 from .crash_evidence import Crash, Suspect
 from .crash_suspects import CrashSuspects, Quarantine
-from .decisions import Decision, Placed, Refused
+from .decisions import Decision, Placed, Refused, TargetCounts
 from .load_digests import LoadAggregator, OwnReports
 from .load_shedding import LoadShedder, SheddingRules
 from .loads import TargetLoads
@@ -42,6 +42,7 @@
     "SheddingRules",
     "Suspect",
     "TargetAvailability",
+    "TargetCounts",
     "TargetLoads",
     "TargetNotices",
     "TargetPromptCache",
--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -15,7 +15,7 @@
 from ..targets import Target
 from .admission_rules import AdmissionRules
 from .crash_suspects import CrashSuspects
-from .decisions import Decision, Placed, Refused
+from .decisions import Decision, Placed, Refused, TargetCounts
 from .loads import TargetLoads
 from .long_prompts import LongPromptTargets
 from .prompt_cache import PromptCacheIndex
@@ -184,7 +184,8 @@
             request.is_trial = self.crash_suspects.record_trial(request.suspects, now)
             return placed
         if now >= self._queue_until(request, uncached_by_id):
-            return self._refuse(request, _NOT_IN_TIME, now)
+            counts = self._count_targets(request, permitted, uncached_by_id, now)
+            return Refused(request, _NOT_IN_TIME, self.retry_after_s(now), targets=counts)
         return None
 
     def _reject_quarantined(self, request: WaitingRequest, now: float) -> Refused | None:
@@ -272,13 +273,8 @@
     ) -> Target | None:
         usable = self.availability.without_ejected(permitted, now)
         slots_fraction, wait_factor = self._limits(request)
-        running = self.loads.running_by_target
         open_targets = self.availability.open_now(usable, now)
-        available = [
-            target
-            for target in open_targets
-            if running.get(target.id, 0) < max(1.0, slots_fraction * target.slots)
-        ]
+        available = self._with_free_slot(open_targets, slots_fraction)
         if not available:
             return None
         if not request.size.prompt_tokens:
@@ -295,6 +291,33 @@
                 return target
         return None
 
+    def _with_free_slot(self, targets: list[Target], slots_fraction: float) -> list[Target]:
+        """Return the targets that run less than a fraction of their slots."""
+        running = self.loads.running_by_target
+        return [
+            target
+            for target in targets
+            if running.get(target.id, 0) < max(1.0, slots_fraction * target.slots)
+        ]
+
+    def _count_targets(
+        self,
+        request: WaitingRequest,
+        permitted: list[Target],
+        uncached_by_id: dict[str, int],
+        now: float,
+    ) -> TargetCounts:
+        """Count the targets that each limit leaves, to explain a refusal."""
+        slots_fraction, wait_factor = self._limits(request)
+        usable = self.availability.without_ejected(permitted, now)
+        free = self._with_free_slot(self.availability.open_now(usable, now), slots_fraction)
+        short_wait = [
+            target
+            for target in free
+            if self._is_wait_allowed(request, target, uncached_by_id[target.id], wait_factor)
+        ]
+        return TargetCounts(len(permitted), len(free), len(short_wait))
+
     def _limits(self, request: WaitingRequest) -> tuple[float, float]:
         """Return the fraction of slots and the factor on the allowed wait for a request.
 
@@ -334,22 +357,32 @@
         now: float,
     ) -> bool:
         """Whether a target can start the request in time without delaying others too much."""
+        if not self._is_wait_allowed(request, target, uncached_tokens, wait_factor):
+            return False
         wait_s = self.loads.prefill_wait_s(target.id)
         allowed_s = wait_factor * self.rules.max_prefill_wait_s
-        rate = self.loads.prefill_tokens_per_s(target.id)
-        saved_s = (request.size.prompt_tokens - uncached_tokens) / rate
-        if wait_s > allowed_s + wait_factor * saved_s:
-            return False
         left_s = request.response_due_at - now
         if left_s <= 0.0:
             return wait_s <= _OVERDUE_WAIT_FRACTION * allowed_s
-        prefill_s = uncached_tokens / rate
+        prefill_s = uncached_tokens / self.loads.prefill_tokens_per_s(target.id)
         if wait_s + prefill_s <= self.rules.latency_budget_fraction * left_s:
             return True
         if self._is_too_long(request, prefill_s):
             return True
         return wait_s <= _EXPECTED_LATE_WAIT_FRACTION * allowed_s
 
+    def _is_wait_allowed(
+        self, request: WaitingRequest, target: Target, uncached_tokens: int, wait_factor: float
+    ) -> bool:
+        """Whether the prefills that are pending at a target leave room for that of a request.
+
+        The prefill time that cached parts save may be spent on waiting.
+        """
+        rate = self.loads.prefill_tokens_per_s(target.id)
+        saved_s = (request.size.prompt_tokens - uncached_tokens) / rate
+        allowed_s = self.rules.max_prefill_wait_s + saved_s
+        return self.loads.prefill_wait_s(target.id) <= wait_factor * allowed_s
+
     def _candidates(
         self,
         size: RequestSize,
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_pool_admission.py
@@ -13,6 +13,7 @@
     Refused,
     RequestSize,
     Target,
+    TargetCounts,
     TargetLoads,
     UsageLedger,
     WaitingRequest,
@@ -276,3 +277,20 @@
         assert decision.retry_after_s > 0.0
     else:
         assert expected is None
+
+
+@pytest.mark.parametrize(
+    ("loads", "expected"),
+    [
+        pytest.param({"t0": (10, 0), "t1": (10, 0)}, TargetCounts(2, 0, 0), id="all-full"),
+        pytest.param({"t0": (10, 0), "t1": (1, 20_000)}, TargetCounts(2, 1, 0), id="all-waiting"),
+        pytest.param({"t0": (3, 0), "t1": (10, 0)}, TargetCounts(2, 1, 1), id="prompt-too-long"),
+    ],
+)
+def test_a_refusal_tells_which_limit_kept_the_targets(loads, expected):
+    pool = make(targets=2)
+    reports = {id: LoadReport(running, pending) for id, (running, pending) in loads.items()}
+    pool.loads.record_report("router", reports, 0.0)
+    decision = submit(pool, size=prompt(20_000), target_latency_s=-1.0)
+    assert isinstance(decision, Refused)
+    assert decision.targets == expected
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -111,6 +111,7 @@
             self._refuse(decision)
 
     def _refuse(self, refused: Refused) -> None:
+        self._trace.refused = refused
         if self._pass_on_failure():
             return
         reason = failure(refused.code, refused.reason, refused.retry_after_s)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/trace.py
@@ -3,7 +3,7 @@
 import logging
 from dataclasses import dataclass, field
 
-from parsleyrudder import Placed, RelayedRequest, SendEnd, WaitingRequest
+from parsleyrudder import Placed, Refused, RelayedRequest, SendEnd, WaitingRequest
 from parsleyrudder_adapters.logs import log_event
 
 from .sends import Send
@@ -23,6 +23,7 @@
     :ivar versions: software versions of the targets of which events or a whole response came.
     :ivar placed: latest decision to place the request.
     :ivar placed_at: time of the first such decision.
+    :ivar refused: decision to refuse the request.
     :ivar response_started_at: time at which the first response started.
     :ivar last_activity_at: time at which data last came from a target, or of the latest placement.
     :ivar longest_pause_s: longest pause between two parts of a response.
@@ -33,6 +34,7 @@
     versions: list[str] = field(default_factory=list)
     placed: Placed | None = None
     placed_at: float | None = None
+    refused: Refused | None = None
     response_started_at: float | None = None
     last_activity_at: float = 0.0
     longest_pause_s: float | None = None
@@ -93,6 +95,7 @@
     ) -> None:
         """Write the log line at the end of the request."""
         placed = self.placed
+        targets = self.refused.targets if self.refused else None
         since = waiting_request.arrived_at
         log_event(
             _LOGGER,
@@ -105,7 +108,11 @@
             outcome=outcome,
             reason=reason,
             resumes=self.resumes,
+            required_version=waiting_request.required_version,
             versions=",".join(self.versions) or None,
+            permitted=targets.permitted if targets else None,
+            with_free_slot=targets.with_free_slot if targets else None,
+            with_short_wait=targets.with_short_wait if targets else None,
             tried=",".join(sorted(relayed_request.tried_targets)) or None,
             position=placed.share_ratio if placed else None,
             tokens_in=waiting_request.size.prompt_tokens or None,
