Move the selection of targets out of the admission's queue

TargetSelection chooses the target of a request within the limits; PoolAdmission queues and refuses.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/pools.py
@@ -97,7 +97,7 @@
             pool = self.get(name)
             if spec.engine:
                 self._context.prompt_cache.capacity_tokens = spec.engine.kv_cache_tokens
-            pool.admission.rules = AdmissionRules(
+            pool.admission.selection.rules = AdmissionRules(
                 max_prefill_wait_s=0.5 * config.min_target_latency_s(name)
             )
         for pool in self._by_name.values():
