Let resumed streams wait for their version, ahead of new requests

Cause: a request that goes on with a stream was given one event interval (0.3 or 0.4 s) as its patience, where a new one has the latency objective of its route, although its caller rather waits than loses the response, its prompt has to be prefilled again, and only targets of one version may take it. Routers keep the pending prefills of all targets just below the limit for new requests, so a stream found no room in that time; once overdue it was allowed half of the limit only. The interval is an objective for the pause, not a time to give up.

Change: the time to give up is a field of its own, 1.5 s from the break or the arrival. Until then the stream is queued before new requests, may go to a target with twice the pending prefill, and into slots that new requests leave free. It is not held back for what its organisation has used: it is the rest of admitted work. Attempts per poll are counted apart, so that streams that wait for a full version do not keep new requests from other targets.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -116,21 +116,22 @@
         """Return the decisions that are due for queued requests.
 
         Only the first few in the queue are tried, so that a long queue does not keep the router
-        from relaying. The others are only refused if their responses are overdue.
+        from relaying; streams to go on with are counted apart from other requests, as they may
+        wait for targets of one version only. The rest are only refused if it is too late for them.
         """
         if not self._waiting_by_id:
             return []
         decisions: list[Decision] = []
-        attempts = 0
+        attempts = {True: 0, False: 0}
         max_attempts = max(
             _MIN_ATTEMPTS_PER_POLL, _MAX_TARGET_CHECKS_PER_POLL // max(1, len(self.targets))
         )
         for request in sorted(self._waiting_by_id.values(), key=self._queue_key):
             decision: Decision | None = None
-            if attempts < max_attempts:
+            if attempts[request.resumes_stream] < max_attempts:
                 decision = self._decide(request, now)
-                attempts += decision is None
-            elif now >= request.response_due_at:
+                attempts[request.resumes_stream] += decision is None
+            elif now >= (request.resume_by or request.response_due_at):
                 decision = self._refuse(request, _NOT_IN_TIME, now)
             if decision is not None:
                 del self._waiting_by_id[request.id]
@@ -229,9 +230,13 @@
     def _queue_until(self, request: WaitingRequest, uncached_by_id: dict[str, int]) -> float:
         """Return the time until which a request may stay queued.
 
+        A request that goes on with a stream has a time of its own.
+
         A request whose prompt is too long to be on time at any target stays queued as long as the
         others of its route. Otherwise it would be placed only if a target happened to be idle.
         """
+        if request.resume_by is not None:
+            return request.resume_by
         prefill_s = 0.0
         if request.size.prompt_tokens and uncached_by_id:
             id = min(uncached_by_id, key=uncached_by_id.__getitem__)
@@ -255,7 +260,8 @@
     def _refuse(self, request: WaitingRequest, reason: str, now: float) -> Refused:
         return Refused(request, reason, self.retry_after_s(now))
 
-    def _queue_key(self, request: WaitingRequest) -> tuple[float, bool, float]:
+    def _queue_key(self, request: WaitingRequest) -> tuple[bool, float, bool, float]:
+        """Return the key of the queue's order: streams to go on with first."""
         share_ratio = round(self.usage.share_ratio(request.organisation), 1)
         is_overdue = request.response_due_at <= request.arrived_at
-        return share_ratio, is_overdue, request.response_due_at
+        return not request.resumes_stream, share_ratio, is_overdue, request.response_due_at
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -51,6 +51,9 @@
     :ivar stream_id: id by which its caller can resume the stream; empty if it can't.
     :ivar required_version: software version of the only targets that may get the request, as they
         have begun its stream; None if any may get it.
+    :ivar resume_by: for a request that goes on with a stream, time by which a target must take it,
+        or it is refused; None for a request that begins a response, which is refused once the
+        response can't begin on time.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
     """
 
@@ -65,4 +68,10 @@
     is_trial: bool = False
     stream_id: str = ""
     required_version: str | None = None
+    resume_by: float | None = None
     excluded_target_ids: set[str] = field(default_factory=set)
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has a part of the stream, and asks for the rest."""
+        return self.resume_by is not None
--- a/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
@@ -72,12 +72,12 @@
             return None
         if not request.size.prompt_tokens:
             return min(available, key=self._service_key)
-        long_prompt_ids = self.long_prompt_targets.select([target.id for target in usable], now)
+        long_prompt_ids = self._long_prompt_ids(request, usable, now)
         min_uncached = min(uncached_by_id[target.id] for target in open_targets)
         for target in self._candidates(request.size, available, uncached_by_id, long_prompt_ids):
             uncached = uncached_by_id[target.id]
             if (
-                self._allows_length(uncached, target, long_prompt_ids)
+                self._allows_length(request, uncached, target, long_prompt_ids)
                 and not self._waits_for_cache(request, target, uncached - min_uncached, now)
                 and self._can_start_in_time(request, target, uncached, wait_factor, now)
             ):
@@ -123,8 +123,13 @@
         leave goes first to those that have used less of the observed usage than others with the
         same demand; beyond that, requests get only slots that would stay free. If no other
         organisation has unmet demand, no slots are reserved and the full limits apply.
+
+        A stream that has begun is to be completed, whatever its organisation has used: otherwise
+        the work that was done for it is lost, and its caller begins it anew.
         """
         rules = self.rules
+        if request.resumes_stream:
+            return rules.resumption_slots_fraction, rules.resumption_wait_factor
         if not request.size.prompt_tokens or self.usage.share_ratio(request.organisation) < 1.0:
             return rules.slots_fraction, 1.0
         if not self.usage.others_have_unmet_demand(request.organisation):
@@ -157,6 +162,9 @@
         """Whether a target can start the request in time without delaying others too much."""
         if not self._is_wait_allowed(request, target, uncached_tokens, wait_factor):
             return False
+        if request.resumes_stream:
+            # The rest of a stream is worth more to its caller late than not at all.
+            return True
         wait_s = self.loads.prefill_wait_s(target.id)
         allowed_s = wait_factor * self.rules.max_prefill_wait_s
         left_s = request.response_due_at - now
@@ -213,11 +221,27 @@
             best = [first, *(target for target in best if target is not first)]
         return best
 
+    def _long_prompt_ids(
+        self, request: WaitingRequest, usable: list[Target], now: float
+    ) -> frozenset[str]:
+        """Return the targets for long prompts; none for a stream, which may go to few targets."""
+        if request.resumes_stream:
+            return frozenset()
+        return self.long_prompt_targets.select([target.id for target in usable], now)
+
     def _allows_length(
-        self, uncached_tokens: int, target: Target, long_prompt_ids: frozenset[str]
+        self,
+        request: WaitingRequest,
+        uncached_tokens: int,
+        target: Target,
+        long_prompt_ids: frozenset[str],
     ) -> bool:
         """Whether the prefill of a prompt would not slow too many streams at a target."""
-        if target.id in long_prompt_ids or not self.long_prompt_targets.is_long(uncached_tokens):
+        if (
+            request.resumes_stream
+            or target.id in long_prompt_ids
+            or not self.long_prompt_targets.is_long(uncached_tokens)
+        ):
             return True
         return self.loads.running(target.id) <= _MAX_BUSY_FRACTION_FOR_LONG * target.slots
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -27,6 +27,7 @@
 from .origin_task import OriginTask
 from .pools import Pools
 from .relay_call import RelayCall
+from .silence import RESUMPTION_WAIT_S
 
 __all__ = ["RelayApi"]
 
@@ -161,9 +162,11 @@
             elapsed_s = max_timeout_s - request.timeout_s
             timeout_s = min(timeout_s, request.timeout_s)
         due_s = route.target_latency_s - elapsed_s
+        resume_by = None
         if accepted.is_resumption:
             # The caller has its first event, and waits for the next one.
             due_s = route.target_event_interval_s
+            resume_by = accepted.at + RESUMPTION_WAIT_S
         digest = _digest(accepted)
         waiting_request = WaitingRequest(
             id=str(next(self._id_counter)),
@@ -176,6 +179,7 @@
             suspects=_suspects(pool.name, digest, request),
             stream_id=accepted.stream_id,
             required_version=required_version,
+            resume_by=resume_by,
         )
         call = RelayCall(
             self._context,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -27,7 +27,7 @@
 from .pools import Pool, Pools
 from .response import BufferedResponse, StreamedResponse
 from .sends import SendResult, Sends
-from .silence import silence_limit_s
+from .silence import RESUMPTION_WAIT_S, silence_limit_s
 from .trace import RequestTrace
 
 __all__ = ["RelayCall"]
@@ -241,9 +241,7 @@
             self._finish("caller_left")
             return
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
-        if self._relayed_request.head_relayed:
-            route = self._relayed_request.route
-            self.waiting_request.response_due_at = now() + route.target_event_interval_s
+        self._expect_next_event()
         if self._may_retry(end) and self._claim_retry():
             self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         elif not self._pass_on_failure():
@@ -252,6 +250,13 @@
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
             )
 
+    def _expect_next_event(self) -> None:
+        """Set the times for the next event, if the caller has been sent a part of the stream."""
+        if self._relayed_request.head_relayed:
+            interval_s = self._relayed_request.route.target_event_interval_s
+            self.waiting_request.response_due_at = now() + interval_s
+            self.waiting_request.resume_by = now() + RESUMPTION_WAIT_S
+
     def _may_retry(self, end: SendEnd) -> bool:
         """Whether the request may be sent to another target after a failed send.
 
@@ -337,6 +342,7 @@
         """
         excluded = self.waiting_request.excluded_target_ids
         excluded.add(silent.target.id)
+        self._expect_next_event()
         if not self.pool.admission.has_place(self.waiting_request, now()):
             excluded.discard(silent.target.id)
             return False
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
@@ -10,6 +10,7 @@
 from parsleyrudder_daemon.relay import api as relay_api
 from parsleyrudder_daemon.relay.api import RelayApi
 from parsleyrudder_daemon.relay.dialect import DecodedRequest
+from parsleyrudder_daemon.relay.silence import RESUMPTION_WAIT_S
 
 NOW = 100.0
 START = StreamStart(b"key", "p", "v1")
@@ -60,18 +61,19 @@
 
 
 @pytest.mark.parametrize(
-    ("last_event_id", "due_in_s", "version"),
+    ("last_event_id", "due_in_s", "wait_s", "version"),
     [
-        pytest.param(None, 0.8 - 3.0, None, id="a-retry-is-due-since-the-first-attempt"),
-        pytest.param(7, 0.4, "v1", id="a-resumption-is-due-within-a-pause"),
+        pytest.param(None, 0.8 - 3.0, None, None, id="a-retry-is-due-since-the-first-attempt"),
+        pytest.param(7, 0.4, RESUMPTION_WAIT_S, "v1", id="a-resumption-is-due-within-a-pause"),
     ],
 )
 def test_a_resumed_stream_is_not_overdue_from_the_start(
-    monkeypatch, last_event_id, due_in_s, version
+    monkeypatch, last_event_id, due_in_s, wait_s, version
 ):
     """It was refused at once unless a target was free, as its first event had been due long ago."""
     first = DecodedRequest("a", "h", "/", "", 15.0, RequestSize())
     again = DecodedRequest("b", "h", "/", "", 12.0, RequestSize(), last_event_id, "a")
     _, submitted = relayed(monkeypatch, [first, again])
     assert submitted.response_due_at == pytest.approx(NOW + due_in_s)
+    assert submitted.resume_by == (NOW + wait_s if wait_s else None)
     assert submitted.required_version == version
