Tell callers of a refused stream when its version may take it

A refusal named the time at which any target of the pool could take a request. A stream that may go on at one version only was told 0.3 s because a target of another version was idle, while the only one of its version had 2 s of prefills before it. The time follows from the targets that may get the request now.

test_a_refused_stream_may_return_when_its_version_can_take_it failed before: 0.3 s against 2.0 s.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -29,6 +29,7 @@
 _MAX_TARGET_CHECKS_PER_POLL = 256
 _MIN_ATTEMPTS_PER_POLL = 2
 _MIN_RETRY_AFTER_S = 0.3
+_NO_TARGET_RETRY_AFTER_S = 1.0
 _MAX_RETRY_AFTER_S = 4.0
 # A target that has crashed is often back with its version after a few seconds.
 _VERSION_RETRY_AFTER_S = 1.0
@@ -152,14 +153,18 @@
 
     def retry_after_s(self, now: float) -> float:
         """Return the time after which a new request can be expected to be placed."""
-        if not self.targets:
-            return 1.0
+        return self._retry_after_s(self.targets, now)
+
+    def _retry_after_s(self, targets: list[Target], now: float) -> float:
+        """Return the time after which one of the targets can be expected to take a request."""
+        if not targets:
+            return _NO_TARGET_RETRY_AFTER_S
         wait_s = min(
             max(
                 2 * self.loads.prefill_wait_s(target.id),
                 self.availability.wait_s(target, now),
             )
-            for target in self.targets
+            for target in targets
         )
         return min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
 
@@ -182,7 +187,8 @@
             return placed
         if now >= self._queue_until(request, uncached_by_id):
             counts = self.selection.count(request, permitted, uncached_by_id, now)
-            return Refused(request, _NOT_IN_TIME, self.retry_after_s(now), targets=counts)
+            retry_after_s = self._retry_after_s(permitted, now)
+            return Refused(request, _NOT_IN_TIME, retry_after_s, targets=counts)
         return None
 
     def _reject_quarantined(self, request: WaitingRequest, now: float) -> Refused | None:
@@ -258,7 +264,8 @@
         )
 
     def _refuse(self, request: WaitingRequest, reason: str, now: float) -> Refused:
-        return Refused(request, reason, self.retry_after_s(now))
+        permitted = self.availability.permitted(self.targets, request)
+        return Refused(request, reason, self._retry_after_s(permitted, now))
 
     def _queue_key(self, request: WaitingRequest) -> tuple[bool, float, bool, float]:
         """Return the key of the queue's order: streams to go on with first."""
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
@@ -142,3 +142,13 @@
         play.loads.record_sent("t0", f"running{n}", 0, 0.0)
     play.pool.submit(new_request("s", 0.0, "v1"), 0.0)
     assert [type(d) for d in play.pool.poll(at)] == [Refused] * decided
+
+
+def test_a_refused_stream_may_return_when_its_version_can_take_it():
+    """The time was that of an idle target of another version."""
+    play = Play(["v1", "v2"])
+    play.loads.record_sent("t0", "running", 100_000, 0.0)
+    play.pool.submit(new_request("s", 0.0, "v1"), 0.0)
+    [refused] = play.pool.poll(RESUMPTION_WAIT_S)
+    assert isinstance(refused, Refused)
+    assert refused.retry_after_s >= play.loads.prefill_wait_s("t0")
