Log which stream a rejected request resumes

request_denied did not tell a resumption that an overloaded or starting router rejects from a new request, so that their shares could not be compared.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -232,6 +232,7 @@
             _LOGGER,
             "request_denied",
             request=request.id if isinstance(request, DecodedRequest) else None,
+            resumes=request.resumes if isinstance(request, DecodedRequest) else None,
             outcome=refusal.kind.code,
             reason=refusal.message,
             version=active_config.config.version if active_config.config else None,
