Do not count a resumed stream's former run against it

Cause: the last report of a router that has died counts for 1 to 1.5 s, so that a stream waits for the slot that its own former run is thought to hold, although the target dropped that run with its connection. With 0.35 of the routers killed at once, a third of all slots look taken.

Change: a resumed stream may go to a target with up to 1.5 times as many requests as slots. It replaces a run that has ended, so that the targets run no more than they did before; what is too much waits in the target's own queue.

Ruled out: a shorter life of reports, which would let all routers send too much to targets whenever reports are late.

--- a/packages/parsleyrudder/parsleyrudder/admission/admission_rules.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/admission_rules.py
@@ -24,6 +24,8 @@
     :ivar excess_wait_factor: as ``over_share_wait_factor``, for an organisation exactly at its fair
         share of the observed usage; the factor decreases above that.
     :ivar resumption_slots_fraction: as ``slots_fraction``, for requests that go on with a stream.
+        It is above 1, because the runs of a router that has died count until its last report
+        expires, and the streams that are resumed then are these runs.
     :ivar resumption_wait_factor: factor on the allowed wait for these requests. It is above 1, so
         that they find room at targets that new requests keep busy.
     """
@@ -35,5 +37,5 @@
     over_share_wait_factor: float = 0.5
     excess_slots_fraction: float = 0.5
     excess_wait_factor: float = 0.25
-    resumption_slots_fraction: float = 1.0
+    resumption_slots_fraction: float = 1.5
     resumption_wait_factor: float = 2.0
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
@@ -7,6 +7,7 @@
 import pytest
 from parsleyrudder import (
     AdmissionRules,
+    LoadReport,
     LongPromptTargets,
     Placed,
     PoolAdmission,
@@ -152,3 +153,12 @@
     [refused] = play.pool.poll(RESUMPTION_WAIT_S)
     assert isinstance(refused, Refused)
     assert refused.retry_after_s >= play.loads.prefill_wait_s("t0")
+
+
+def test_a_stream_does_not_wait_for_the_slot_of_its_own_run_at_a_dead_router():
+    """The last report of a router that was killed made the targets of its streams look full."""
+    play = Play(["v1"])
+    play.loads.record_report("killed", {"t0": LoadReport(SLOTS, 0)}, 0.0)
+    play.pool.submit(new_request("new", 0.0), 0.0)
+    assert isinstance(play.pool.submit(new_request("s", 0.0, "v1"), 0.0), Placed)
+    assert play.pool.waiting == 1
