Read what has arrived before a time limit is enforced

Callers of a router that had been busy or suspended for some time got neither an answer nor a refusal: a connection on which a whole request waited in the kernel's buffer was closed for being idle. A caller whose request was half read got 408 though the rest had arrived, and a response of a target that had arrived in time was dropped as "timeout".

Cause: the timers of the event loop fire before its sockets are polled. After a turn that lasted past a time limit (a large configuration, many new connections, a suspended process), the limit was enforced first, and what had arrived within it was never read. The class of fault: a time limit judged by the clock while the evidence that it was kept is unread. All time limits of the loop share it: idle and unfinished requests of callers, silence and time-outs of targets, time-outs of the store.

Fix: a timer fires only once the sockets have been polled since it was due; the loop polls without waiting for that. A loop that waits for the next timer polls after it is due, so that nothing changes there.

Ruled out: a check for unread input at the close of an idle connection only. It leaves the other time limits as they were.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/poller.py
@@ -41,6 +41,7 @@
 class LoopPoller(BasePoller):
     """Monitors sockets by epoll.
 
+    :ivar polled_at: time at which the sockets were last polled, in seconds of monotonic time.
     :ivar longest_recent_turn_s: longest turn of the event loop since it was last taken, without the
         time in which the loop waited for events.
     :ivar on_turn: called at the end of each turn with its duration and the time, both in seconds.
@@ -54,7 +55,7 @@
         self._registration_by_fd: dict[Any, _Registration] = {}
         self._registration_by_fileno: dict[int, _Registration] = {}
         self._epoll.register(self._ctrl_recv, select.EPOLLIN)
-        self._turn_started_at = time.monotonic()
+        self.polled_at = time.monotonic()
         self.longest_recent_turn_s = 0.0
         self.on_turn: Callable[[float, float], None] | None = None
 
@@ -132,7 +133,7 @@
     def _generate_events(self, event: Any) -> None:
         timeout = event.time_left
         now = time.monotonic()
-        turn_s = now - self._turn_started_at
+        turn_s = now - self.polled_at
         self.longest_recent_turn_s = max(self.longest_recent_turn_s, turn_s)
         if self.on_turn is not None:
             self.on_turn(turn_s, now)
@@ -141,7 +142,7 @@
         except InterruptedError:
             return
         finally:
-            self._turn_started_at = time.monotonic()
+            self.polled_at = time.monotonic()
         for fileno, events in ready:
             if fileno == self._ctrl_recv:
                 os.read(self._ctrl_recv, 1)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/timers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/timers.py
@@ -9,6 +9,9 @@
 from collections.abc import Callable
 
 from circuits.core import BaseComponent, handler
+from circuits.core.utils import findcmp
+
+from .poller import LoopPoller
 
 __all__ = ["Timer", "Timers"]
 
@@ -38,7 +41,11 @@
 
 
 class Timers(BaseComponent):
-    """Calls callbacks when they are due, in the event loop in which it is registered."""
+    """Calls callbacks when they are due, in the event loop in which it is registered.
+
+    A timer fires only after the sockets have been polled since it was due, so that a loop that was
+    busy reads what has arrived in time before it enforces a time limit.
+    """
 
     channel = "timers"
 
@@ -46,6 +53,7 @@
         super().__init__()
         self._heap: list[tuple[float, int, Timer]] = []
         self._counter = itertools.count()
+        self._poller: LoopPoller | None = None
 
     def after(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Schedule a callback after a delay.
@@ -68,9 +76,12 @@
 
     @handler("generate_events", channel="*")
     def _on_generate_events(self, event: object) -> None:
-        now = time.monotonic()
-        while self._heap and (self._heap[0][0] <= now or not self._heap[0][2].is_pending):
+        if self._poller is None:
+            self._poller = findcmp(self.root, LoopPoller)
+        polled_at = time.monotonic() if self._poller is None else self._poller.polled_at
+        while self._heap and (self._heap[0][0] <= polled_at or not self._heap[0][2].is_pending):
             _, _, timer = heapq.heappop(self._heap)
             timer.fire()
         if self._heap:
-            event.reduce_time_left(max(0.0, self._heap[0][0] - now))  # type: ignore[attr-defined]
+            time_left_s = self._heap[0][0] - time.monotonic()
+            event.reduce_time_left(max(0.0, time_left_s))  # type: ignore[attr-defined]
