Keep a connection with an unread request at the connection limit

A caller whose kept connection was the one that had been idle for longest lost its request without an answer, as the router accepted a connection beyond its limit: the idle connection was closed although a request had arrived on it in the same turn of the event loop, or earlier if turns were long.

Cause: a connection counted as idle until its input was read, and new connections may be accepted before other sockets are read.

Evidence: test_a_connection_with_an_unread_request_is_not_closed... got no byte of a response before the change. Fix: the longest idle connection without unread input is replaced; if there is none, the new connection is refused as before.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -120,9 +120,15 @@
                 self._set_deadline(sock, connection, _FIRST_REQUEST_S)
 
     def add_connection(self, sock: socket.socket) -> None:
-        """Take over an accepted connection; beyond the limit, it replaces the longest idle one."""
-        if len(self._connection_by_sock) >= self._limits.connections and self._idle_socks:
-            self.sockets.close(next(iter(self._idle_socks)))
+        """Take over an accepted connection; beyond the limit, it replaces the longest idle one.
+
+        One with an unread request is not idle.
+        """
+        if len(self._connection_by_sock) >= self._limits.connections:
+            idle = (sock for sock in self._idle_socks if not self.sockets.has_input(sock))
+            replaced = next(idle, None)
+            if replaced is not None:
+                self.sockets.close(replaced)
         excess = len(self._connection_by_sock) - self._limits.connections
         if excess >= _MAX_REFUSED_CONNECTIONS:
             sock.close()
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_late_loop.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_late_loop.py
@@ -69,6 +69,27 @@
     assert receive(sock).startswith(b"HTTP/1.1 200 ")
 
 
+def test_a_connection_with_an_unread_request_is_not_closed_for_a_new_one(loop):
+    """At the limit of connections, a new one replaced the longest idle one, and its request."""
+    server = start(loop, RequestLimits(connections=2))
+    idle, other = connect(server), connect(server)
+    for sock in (idle, other):
+        assert exchange(sock).endswith(b"done")
+    loop.wait_until(lambda: len(server.request_reader._idle_socks) == 2)
+    new = []
+
+    def connect_and_send():
+        new.append(connect(server))
+        # The listening socket is polled before the others, as after a long turn of the loop.
+        idle.sendall(REQUEST)
+        server._listener.on_readable(server._listener._sock)
+
+    loop.call(connect_and_send)
+    assert receive(idle).startswith(b"HTTP/1.1 200 ")
+    assert receive(other) == b""
+    assert exchange(new[0]).startswith(b"HTTP/1.1 200 ")
+
+
 class Listener:
     """Records how a request ended."""
 
