Answer the requests that are open at the end of a stop

Callers whose requests were still open 0.5 s before the end of a router's time to stop got neither an answer nor a refusal: their connections were closed as the process ended. That also held for a request that was still queued, which is known not to have run, and no log line told which requests were cut (relay_stopped gave their number only).

Cause: at the limit the application object stopped the event loop without ending the requests.

Evidence: test_stop_limit, a running and a queued request of a relay whose only target never responds, with stop_s = 4: "Remote end closed connection without response" for both, on each of three kinds of routes.

Fix: the relay ends each of its requests before the loop stops: 503 with Retry-After if no target can have run it, otherwise the kept response of a target or 502; a stream that has begun is cut, as before. Each gets its request_finished line. The response of a target that failed is now preferred to an error response in one place.

--- a/packages/parsleyrudder/parsleyrudder/delivery/relays.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/relays.py
@@ -8,6 +8,9 @@
 
 __all__ = ["RelayedRequest", "SendEnd"]
 
+# Other routers are ready, so that the caller need not wait.
+_STOP_RETRY_AFTER_S = 0.1
+
 
 class SendEnd(StrEnum):
     """Reason why a send to a target failed."""
@@ -84,3 +87,12 @@
             "no target had room in time",
             retry_after_s,
         )
+
+    def stop_failure(self, in_flight: bool) -> Failure:
+        """Return the error response to a request that is open when its router has to end.
+
+        :param in_flight: whether a target may be running the request.
+        """
+        if in_flight or self.may_have_run:
+            return failure("server_failed", "the router stopped before the answer was whole")
+        return failure("draining", "this router is stopping", _STOP_RETRY_AFTER_S)
--- a/packages/parsleyrudder/parsleyrudder/delivery/tests/test_relays.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/tests/test_relays.py
@@ -97,6 +97,19 @@
     assert call.deadline_failure(in_flight, 1.0).kind.code == code
 
 
+@pytest.mark.parametrize(
+    ("in_flight", "broken", "code"),
+    [(False, False, "draining"), (True, False, "server_failed"), (False, True, "server_failed")],
+)
+def test_a_request_that_may_have_run_is_not_called_not_run_at_the_end_of_a_stop(
+    in_flight, broken, code
+):
+    call = relay(SAFE)
+    if broken:
+        fail(call, BROKEN)
+    assert call.stop_failure(in_flight).kind.code == code
+
+
 @pytest.mark.parametrize("routers", [1, 3, 7])
 def test_fleet_keeps_the_retry_limit_for_any_distribution_of_traffic(routers):
     """One router gets all requests and every router retries; checks several sliding windows."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -112,6 +112,11 @@
         assert refusal is not None
         self._refuse(exchange, refusal, request)
 
+    def stop(self) -> None:
+        """End the requests that are still in progress, each with a response."""
+        for call in list(self._call_by_id.values()):
+            call.stop()
+
     def _start_call(self, exchange: CallerExchange, request: DecodedRequest, route: Route) -> None:
         organisation = self._find_organisation(request, route)
         if isinstance(organisation, Failure):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -269,6 +269,7 @@
         is_late = now() >= self._stop_requested_at + limit_s
         if self._http_server.is_drained or is_late:
             log_event(_LOGGER, "relay_stopped", cut=self._http_server.open_exchanges)
+            self.api.stop()
             self._link.close()
             self.stop()
         else:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -92,13 +92,14 @@
 
     def begin(self) -> None:
         """Submit the request for admission."""
-        self._apply_decision(self.pool.admission.submit(self.waiting_request, now()))
+        self.on_decision(self.pool.admission.submit(self.waiting_request, now()))
 
-    def on_decision(self, decision: Decision) -> None:
-        """Handle the decision about the request after it was queued."""
-        self._apply_decision(decision)
+    def stop(self) -> None:
+        """End the request, as the time in which this router has to stop is over."""
+        self._fail(self._relayed_request.stop_failure(in_flight=self._cancel_attempt()))
 
-    def _apply_decision(self, decision: Decision | None) -> None:
+    def on_decision(self, decision: Decision | None) -> None:
+        """Handle a decision about the request; None if it is queued."""
         if decision is None:
             self._pools.ensure_polling()
         elif isinstance(decision, Placed):
@@ -111,8 +112,6 @@
             self._refuse(decision)
 
     def _refuse(self, refused: Refused) -> None:
-        if self._pass_on_failure():
-            return
         reason = failure(refused.code, refused.reason, refused.retry_after_s)
         if self._relayed_request.may_have_run:
             reason = self._relayed_request.final_failure(refused.reason, refused.retry_after_s)
@@ -244,8 +243,8 @@
             route = self._relayed_request.route
             self.waiting_request.response_due_at = now() + route.target_event_interval_s
         if self._may_retry(end) and self._claim_retry():
-            self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
-        elif not self._pass_on_failure():
+            self.on_decision(self.pool.admission.resubmit(self.waiting_request, now()))
+        else:
             text = f"the send to {attempt.target.id} ended {end}"
             self._fail(
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
@@ -349,37 +348,38 @@
     def _on_deadline(self) -> None:
         if self._is_finished:
             return
-        in_flight = self._attempt is not None and self._attempt.is_sent
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._end_attempt(None, is_failure=None)
-        if self._pass_on_failure():
-            return
+        in_flight = self._cancel_attempt()
         retry_after_s = self.pool.admission.retry_after_s(now())
         self._fail(self._relayed_request.deadline_failure(in_flight, retry_after_s))
 
     def _on_caller_left(self) -> None:
-        if self._is_finished:
-            return
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._end_attempt(None, is_failure=None)
-        self._finish("caller_left")
-
-    def _pass_on_failure(self) -> bool:
-        """Send the response of a target that failed, unless another one has begun to respond."""
-        if self._failed_response is None or self._relayed_request.head_relayed:
+        if not self._is_finished:
+            self._cancel_attempt()
+            self._finish("caller_left")
+
+    def _cancel_attempt(self) -> bool:
+        """Cancel the attempt in progress; return whether a target may be running the request."""
+        attempt = self._attempt
+        if attempt is None:
             return False
-        self._send_response(self._failed_response, "passed_on")
-        return True
+        attempt.cancel()
+        self._end_attempt(None, is_failure=None)
+        return attempt.is_sent
 
     def _send_response(self, response: BufferedResponse, outcome: str) -> None:
         self._exchange.respond(response.head.status, bytes(response.body), response.head.headers)
         self._finish(outcome)
 
     def _fail(self, reason: Failure) -> None:
+        """End without an answer; the response of a target that failed is preferred to the reason.
+
+        A stream that has begun is aborted.
+        """
         if self._relayed_request.head_relayed:
             self._exchange.abort()
+        elif self._failed_response is not None:
+            self._send_response(self._failed_response, "passed_on")
+            return
         else:
             self.context.dialect.refuse(self._exchange, reason)
         self.context.metrics.count("failed", code=reason.kind.code, pool=self.pool.name)
