Keep a stream at a silent target unless another one would get it

Callers of a stream whose target fell silent for about two seconds, and would have gone on, got the end of their connection in the middle of the stream: neither the rest of the answer nor a refusal.

Cause: before a silent target is given up, the router asks whether another one would get the request. It asked with the time at which the first event had been due, which is past, and for overdue requests another rule on the pending prefills holds. Then it gave up the target, set the time to the next event's, and the same admission refused the request, as no target could begin it in time. A refusal after the first event cuts the stream. The class of fault: a decision is checked under one condition and carried out under another.

Evidence: test_silent_streams, a stream that has begun at one of two targets, the other one with pending prefills of 0.3 s, a prompt of 0.5 s, and 0.4 s between events: is_cut was True before the change. With the other target free, the stream went on there before and after.

Fix: the time by which the stream should go on is renewed before the question, so that question and decision agree.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -239,9 +239,7 @@
             self._finish("caller_left")
             return
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
-        if self._relayed_request.head_relayed:
-            route = self._relayed_request.route
-            self.waiting_request.response_due_at = now() + route.target_event_interval_s
+        self._renew_due_time()
         if self._may_retry(end) and self._claim_retry():
             self.on_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         else:
@@ -250,6 +248,12 @@
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
             )
 
+    def _renew_due_time(self) -> None:
+        """Set the time by which a stream that has begun should go on at another target."""
+        if self._relayed_request.head_relayed:
+            route = self._relayed_request.route
+            self.waiting_request.response_due_at = now() + route.target_event_interval_s
+
     def _may_retry(self, end: SendEnd) -> bool:
         """Whether the request may be sent to another target after a failed send.
 
@@ -309,17 +313,15 @@
         self.on_attempt_failed(end, reason)
 
     def _check_silence(self) -> None:
-        if not self._relayed_request.route.is_idempotent:
+        request = self._relayed_request
+        if not request.route.is_idempotent:
             return
-        limit_s = silence_limit_s(self._relayed_request.route)
+        limit_s = silence_limit_s(request.route)
         remaining_s = self._trace.last_activity_at + limit_s - now()
         if remaining_s > 0:
             self._silence_timer = self.context.timers.after(remaining_s, self._on_silence_timer)
             return
-        has_attempts_left = (
-            self._relayed_request.sent_count + 1 < self._relayed_request.route.max_attempts
-        )
-        if not has_attempts_left or self._attempt is None:
+        if self._attempt is None or request.sent_count + 1 >= request.route.max_attempts:
             return
         if not self._claim_other_target(self._attempt):
             self._silence_timer = self.context.timers.after(
@@ -335,6 +337,7 @@
         """
         excluded = self.waiting_request.excluded_target_ids
         excluded.add(silent.target.id)
+        self._renew_due_time()
         if not self.pool.admission.has_place(self.waiting_request, now()):
             excluded.discard(silent.target.id)
             return False
