Drop messages to other routers after their link is closed

At the end of a stop a router logged handler_failed: "ZMQError: Socket operation on non-socket". A timer of the loop's last turns sent a load report after the link to the other routers had been closed; the timers that were due after it in that turn did not fire. Callers saw nothing of it, as the requests have ended by then.

Evidence: test_a_message_after_the_close_is_dropped raised "Socket operation on non-socket" for a known address and "Operation not supported" for a new one. Fix: the link drops what is sent after its close.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -92,6 +92,8 @@
             self._send(address, data)
 
     def _send(self, address: str, data: bytes) -> None:
+        if self._context.closed:
+            return
         dealer = self._dealer_by_address.get(address)
         if dealer is None:
             dealer = self._dealer_by_address[address] = self._connect(address)
@@ -116,7 +118,10 @@
             self._dealer_by_address.pop(address).close(0)
 
     def close(self) -> None:
-        """Close all sockets; queued messages are still sent for up to 200 ms."""
+        """Close all sockets; queued messages are still sent for up to 200 ms.
+
+        Messages that are sent later are dropped.
+        """
         if self._poller is not None:
             self._poller.discard(self._router_socket.getsockopt(zmq.FD))
         for dealer in self._dealer_by_address.values():
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -41,3 +41,16 @@
         with pytest.raises(TimeoutError):
             read_until_closed(kept)
         link.close()
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_a_message_after_the_close_is_dropped(servers, is_known):
+    """A timer that fired in the last turn of a loop failed, and those after it did not fire."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        own = f"127.0.0.1:{listener.getsockname()[1]}"
+    link = PeerLink(own, None, lambda message: None)
+    address = f"127.0.0.1:{servers[0].getsockname()[1]}"
+    if is_known:
+        link.send(address, ConfigRequest("r", 1))
+    link.close()
+    link.send(address, ConfigRequest("r", 2))
