--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -92,13 +92,14 @@
 
     def begin(self) -> None:
         """Submit the request for admission."""
-        self._apply_decision(self.pool.admission.submit(self.waiting_request, now()))
+        self.on_decision(self.pool.admission.submit(self.waiting_request, now()))
 
-    def on_decision(self, decision: Decision) -> None:
-        """Handle the decision about the request after it was queued."""
-        self._apply_decision(decision)
+    def stop(self) -> None:
+        """End the request, as the time in which this router has to stop is over."""
+        self._fail(self._relayed_request.stop_failure(in_flight=self._cancel_attempt()))
 
-    def _apply_decision(self, decision: Decision | None) -> None:
+    def on_decision(self, decision: Decision | None) -> None:
+        """Handle a decision about the request; None if it is queued."""
         if decision is None:
             self._pools.ensure_polling()
         elif isinstance(decision, Placed):
@@ -112,8 +113,6 @@
 
     def _refuse(self, refused: Refused) -> None:
         self._trace.refused = refused
-        if self._pass_on_failure():
-            return
         reason = failure(refused.code, refused.reason, refused.retry_after_s)
         if self._relayed_request.may_have_run:
             reason = self._relayed_request.final_failure(refused.reason, refused.retry_after_s)
@@ -243,8 +242,8 @@
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
         self._expect_next_event()
         if self._may_retry(end) and self._claim_retry():
-            self._apply_decision(self.pool.admission.resubmit(self.waiting_request, now()))
-        elif not self._pass_on_failure():
+            self.on_decision(self.pool.admission.resubmit(self.waiting_request, now()))
+        else:
             text = f"the send to {attempt.target.id} ended {end}"
             self._fail(
                 self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
@@ -316,17 +315,15 @@
         self.on_attempt_failed(end, reason)
 
     def _check_silence(self) -> None:
-        if not self._relayed_request.route.is_idempotent:
+        request = self._relayed_request
+        if not request.route.is_idempotent:
             return
-        limit_s = silence_limit_s(self._relayed_request.route)
+        limit_s = silence_limit_s(request.route)
         remaining_s = self._trace.last_activity_at + limit_s - now()
         if remaining_s > 0:
             self._silence_timer = self.context.timers.after(remaining_s, self._on_silence_timer)
             return
-        has_attempts_left = (
-            self._relayed_request.sent_count + 1 < self._relayed_request.route.max_attempts
-        )
-        if not has_attempts_left or self._attempt is None:
+        if self._attempt is None or request.sent_count + 1 >= request.route.max_attempts:
             return
         if not self._claim_other_target(self._attempt):
             self._silence_timer = self.context.timers.after(
@@ -356,37 +353,38 @@
     def _on_deadline(self) -> None:
         if self._is_finished:
             return
-        in_flight = self._attempt is not None and self._attempt.is_sent
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._end_attempt(None, is_failure=None)
-        if self._pass_on_failure():
-            return
+        in_flight = self._cancel_attempt()
         retry_after_s = self.pool.admission.retry_after_s(now())
         self._fail(self._relayed_request.deadline_failure(in_flight, retry_after_s))
 
     def _on_caller_left(self) -> None:
-        if self._is_finished:
-            return
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._end_attempt(None, is_failure=None)
-        self._finish("caller_left")
-
-    def _pass_on_failure(self) -> bool:
-        """Send the response of a target that failed, unless another one has begun to respond."""
-        if self._failed_response is None or self._relayed_request.head_relayed:
+        if not self._is_finished:
+            self._cancel_attempt()
+            self._finish("caller_left")
+
+    def _cancel_attempt(self) -> bool:
+        """Cancel the attempt in progress; return whether a target may be running the request."""
+        attempt = self._attempt
+        if attempt is None:
             return False
-        self._send_response(self._failed_response, "passed_on")
-        return True
+        attempt.cancel()
+        self._end_attempt(None, is_failure=None)
+        return attempt.is_sent
 
     def _send_response(self, response: BufferedResponse, outcome: str) -> None:
         self._exchange.respond(response.head.status, bytes(response.body), response.head.headers)
         self._finish(outcome)
 
     def _fail(self, reason: Failure) -> None:
+        """End without an answer; the response of a target that failed is preferred to the reason.
+
+        A stream that has begun is aborted.
+        """
         if self._relayed_request.head_relayed:
             self._exchange.abort()
+        elif self._failed_response is not None:
+            self._send_response(self._failed_response, "passed_on")
+            return
         else:
             self.context.dialect.refuse(self._exchange, reason)
         self.context.metrics.count("failed", code=reason.kind.code, pool=self.pool.name)
