Send a request to an address again only on a new connection

Cause: a target may write an earlier refusal once more where the next response is due on a kept connection. A response is matched to its request by the id that it names. Two sends of one request have the same id, so the copy of the refusal of the first send was taken for the response to the second one, which the target was running. A request is not sent to the same target id twice, but two ids may have one address: while a target restarts, its entries of both lifetimes are in the store, the send to the older one is refused as misdirected, and the one to the newer one reused the connection.

Why it works: a second send to an address uses a new connection, on which no copy of an earlier response can arrive. The connection of the first send stays; a copy on it has the id of another request by then, and is skipped.

Ruled out, by tests that passed before: the copy of a refusal in one piece with it, on the idle connection, and after the next request of another caller was sent, with its id or with none (test_repeated_refusals). A copy with none makes the attempt broken, so the caller gets 502.

--- a/packages/parsleyrudder/parsleyrudder/delivery/relays.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/relays.py
@@ -33,6 +33,7 @@
     :ivar may_have_run: whether a target may have run the request in a failed send.
     :ivar head_relayed: whether the status and headers of a response were relayed to the caller.
     :ivar tried_targets: ids of the targets to which a send was attempted.
+    :ivar tried_addresses: addresses of these targets.
     """
 
     id: str
@@ -42,10 +43,21 @@
     may_have_run: bool = False
     head_relayed: bool = False
     tried_targets: set[str] = field(default_factory=set)
+    tried_addresses: set[str] = field(default_factory=set)
 
-    def on_send_started(self, target: str) -> None:
+    def may_reuse_connection(self, address: str) -> bool:
+        """Whether a send to an address may use a connection that earlier sends have used.
+
+        If the request was sent to the address before, a late second copy of that response could
+        not be told from the response to this send, as both name the same request. Targets with
+        different ids may have the same address, such as before and after a restart.
+        """
+        return address not in self.tried_addresses
+
+    def on_send_started(self, target: str, address: str) -> None:
         """Record that the request is about to be sent to a target."""
         self.tried_targets.add(target)
+        self.tried_addresses.add(address)
 
     def on_bytes_sent(self) -> None:
         """Record that a byte of the request may have reached the target."""
--- a/packages/parsleyrudder/parsleyrudder/delivery/tests/test_relays.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/tests/test_relays.py
@@ -21,7 +21,7 @@
 
 
 def fail(call, end, now=1.0):
-    call.on_send_started("t")
+    call.on_send_started("t", "10.0.0.1:1")
     if end is not NOT_SENT:
         call.on_bytes_sent()
     return call.may_retry(end, now)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -120,7 +120,8 @@
 
     def _send(self, placed: Placed) -> None:
         target = placed.target
-        self._relayed_request.on_send_started(target.id)
+        may_reuse_connection = self._relayed_request.may_reuse_connection(target.address)
+        self._relayed_request.on_send_started(target.id, target.address)
         self._sends.begin(target, now())
         self._trace.record_placed(placed, now())
         remaining_s = self._relayed_request.deadline - now()
@@ -133,7 +134,7 @@
             caller.target,
             self.context.dialect.headers_for_target(caller, attempt_info),
             caller.body,
-            reuse=True,
+            reuse=may_reuse_connection,
             max_idle_s=math.inf if route.is_idempotent else _MAX_IDLE_IF_RUN_ONCE_S,
             may_send=lambda: self._may_send(target),
             match_response=lambda headers: self.context.dialect.match_response(
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
@@ -42,6 +42,11 @@
         """Whether the connection is closed or closing."""
         return self._writer.is_closing()
 
+    @property
+    def connection(self) -> asyncio.StreamWriter:
+        """The connection, which later requests may share."""
+        return self._writer
+
     async def send(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
         """Send a complete response."""
         fields = {"Content-Length": str(len(body)), **(headers or {})}
