Do not pass on a status that means "not run" for a request that may have run

Cause: a response with the status 408, 429 or 503 is a refusal only if the target states that it did not run the request. Without that statement the response was passed on to the caller unchanged, also for a request that may run only once, and the caller takes the status as a promise.

Why it works: such a response counts as a failure of the target, so a request that may run once ends as server_failed (502), which promises nothing. Requests that may run twice are treated as before. The statuses are the dialect's to name.

Ruled out: 500 and 504, which promise nothing, and 421, which is a refusal by itself.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -65,6 +65,8 @@
     :ivar is_event_stream: whether the body is a stream of events.
     :ivar headers: headers to relay to the caller.
     :ivar signals: what the target states about itself.
+    :ivar has_not_run_status: whether callers take the status as a promise that the request was not
+        run and never will be.
     """
 
     status: int
@@ -72,6 +74,7 @@
     is_event_stream: bool
     headers: list[tuple[str, str]]
     signals: TargetSignals = field(default_factory=TargetSignals)
+    has_not_run_status: bool = False
 
 
 class Dialect(Protocol):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -206,18 +206,18 @@
 
     def on_attempt_end(self) -> None:
         """See :class:`AttemptOwner`."""
-        response = self._buffered
+        response, relayed_request = self._buffered, self._relayed_request
         if response is not None:
             self._sends.answered(now())
-            if self._relayed_request.head_relayed:
+            if relayed_request.head_relayed or response.is_misleading(relayed_request.route):
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
-            elif response.head.status >= 500 and self._relayed_request.route.is_idempotent:
+            elif response.head.status >= 500 and relayed_request.route.is_idempotent:
                 self._failed_response = response
                 self.on_attempt_failed(SendEnd.FAILED, f"status {response.head.status}")
             else:
                 self._end_attempt(None, is_failure=response.head.status >= 500)
                 self._send_response(response, "answered")
-        elif not self._event_filter.is_between_events or not self._relayed_request.head_relayed:
+        elif not self._event_filter.is_between_events or not relayed_request.head_relayed:
             self.on_attempt_failed(SendEnd.BROKEN, "the stream ended in the middle of an event")
         else:
             assert self._stream is not None
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/response.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from parsleyrudder import Route
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.timers import Timers
 
@@ -22,6 +23,13 @@
     head: ResponseHead
     body: bytearray = field(default_factory=bytearray)
 
+    def is_misleading(self, route: Route) -> bool:
+        """Whether its status tells the caller to send a request again that may not run twice.
+
+        The target has not stated that it did not run the request, or this would be a refusal.
+        """
+        return self.head.has_not_run_status and not route.is_idempotent
+
 
 class StreamedResponse:
     """A stream of events that is relayed as it arrives.
