Close a connection after a second copy of an earlier response on it

Cause: a second copy that names its request is skipped, and the connection was then kept for further requests. A server that repeats responses may do so again on it, and a copy that names no request breaks off the request that is waiting: 502 for one that may run only once.

Evidence: test_a_connection_is_not_used_again_after_a_second_copy failed before: the third request was sent on the connection of the copy.

Why it works: the connection serves the request that is in progress and is then closed, so a server that repeats responses costs a new connection each time and no request.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -303,6 +303,8 @@
         match = match_response(headers) if match_response else ResponseMatch.OWN
         if match is ResponseMatch.OTHER:
             connection.is_skipping_response = True
+            # The next superfluous response may name no request.
+            connection.may_be_reused = False
             return
         if match is ResponseMatch.UNKNOWN and connection.is_reused:
             # It may be a second copy of an earlier response.
@@ -330,10 +332,11 @@
         exchange.connection = None
         connection.exchange = None
         parser = connection.parser
-        reusable = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        is_parser_done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         # Bytes after the response would be taken for the response to the next request.
-        surplus = parser.trailing_data[0]
-        if reusable and not surplus and not connection.send_queue and not connection.write_failed:
+        has_surplus = bool(parser.trailing_data[0])
+        is_sent = not connection.send_queue and not connection.write_failed
+        if connection.may_be_reused and is_parser_done and is_sent and not has_surplus:
             parser.start_next_cycle()
             self._add_idle(connection)
         else:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
@@ -70,6 +70,7 @@
 
     :ivar is_skipping_response: whether the current response belongs to an earlier request.
     :ivar is_reused: whether a request was sent on it before the current one.
+    :ivar may_be_reused: whether another request may follow the current one.
     :ivar has_response_started: whether the head of the response has been received.
     :ivar ignored_bytes: bytes received since the request and before the head of its response.
     :ivar used_at: time at which a request was last sent or a response last completed.
@@ -85,6 +86,7 @@
     write_failed: bool = False
     is_skipping_response: bool = False
     is_reused: bool = False
+    may_be_reused: bool = True
     has_response_started: bool = False
     ignored_bytes: int = 0
     used_at: float = 0.0
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
@@ -73,3 +73,24 @@
     server = ScriptedServer(serve)
     assert call(loop, client, server, "a").body == b"own"
     server.close()
+
+
+def test_a_connection_is_not_used_again_after_a_second_copy(loop, client):
+    """Each further copy, once it named no request, broke off the request of another caller."""
+
+    def serve(server, connection):
+        server.receive(connection)
+        connection.sendall(response(b"a", b"first", "length"))
+        server.receive(connection)
+        connection.sendall(response(b"a", b"first", "length"))
+        connection.sendall(response(b"b", b"second", "length"))
+        server.receive(connection)
+
+    def serve_anew(server, connection):
+        server.receive(connection)
+        connection.sendall(response(b"c", b"third", "length"))
+
+    server = ScriptedServer(serve, serve_anew)
+    bodies = [call(loop, client, server, id).body for id in ("a", "b", "c")]
+    assert bodies == [b"first", b"second", b"third"]
+    server.close()
