Close a connection whose response names no request

Cause: a response that names no request is accepted on a new connection, but not on one that was used before, since it may be a copy of an earlier response. A new connection was kept after such a response all the same. The next request to a server that names no requests in its responses, or not in all of them, was broken off then: 502 for one that may run only once.

Why it works: a connection is kept only if its responses name their requests, so that a second copy can be recognised on it.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -306,10 +306,12 @@
             # The next superfluous response may name no request.
             connection.may_be_reused = False
             return
-        if match is ResponseMatch.UNKNOWN and connection.is_reused:
-            # It may be a second copy of an earlier response.
-            self._fail_connection(connection, "a response names no request")
-            return
+        if match is ResponseMatch.UNKNOWN:
+            if connection.is_reused:
+                # It may be a second copy of an earlier response.
+                self._fail_connection(connection, "a response names no request")
+                return
+            connection.may_be_reused = False
         connection.has_response_started = True
         connection.idle_until = time.monotonic() + max_idle_s(headers)
         if exchange.listener is not None:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -23,7 +23,7 @@
     OTHER = "other"
     """It belongs to an earlier request on the connection, and is skipped."""
     UNKNOWN = "unknown"
-    """It names no request, so it is accepted only as the first one on its connection."""
+    """It names no request, so it is accepted only as the first and last one on its connection."""
 
 
 @dataclass(slots=True)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
@@ -65,13 +65,16 @@
     server.close()
 
 
-def test_a_response_that_names_no_request_is_accepted_on_a_new_connection(loop, client):
+def test_each_response_that_names_no_request_is_accepted_on_a_new_connection(loop, client):
+    """The second request used the connection of the first, where its response was not accepted."""
+
     def serve(server, connection):
-        server.receive(connection)
-        connection.sendall(response(b"", b"own", "length"))
+        for _ in range(2):
+            server.receive(connection)
+            connection.sendall(response(b"", b"own", "length"))
 
-    server = ScriptedServer(serve)
-    assert call(loop, client, server, "a").body == b"own"
+    server = ScriptedServer(serve, serve)
+    assert [call(loop, client, server, id).body for id in ("a", "b")] == [b"own", b"own"]
     server.close()
 
 
