Give each call to an engine or a plain service a connection of its own

A call could be reported as not run, and sent to another server, while its server ran it.

Cause: completions, and calls to plain services that may run twice, reused idle connections. These servers need not name the request in their answers, so a second copy of an earlier refusal (or of any answer) on a kept connection was taken for the answer to the next call. Where the answer has an id, the attempts of one call share it.

Evidence: test_the_copy_of_a_refusal_is_not_the_response_to_the_next_call failed before in all four rows: the second call got 503 with the statement that it was not run, from a server that had received it.

Why it works: the request says that the connection closes after it, so neither another call nor a later read gets that connection. Calls that may run only once had a new connection before.

Ruled out: matching by X-Request-Id, since servers that do not return it would lose each call on a connection that was used before. Orders have used a new connection all along. Reads of load, cache events and state are repeated soon and say nothing about a call.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
@@ -15,6 +15,7 @@
 )
 
 from .http_client import Exchange, HttpClient, HttpRequest
+from .http_messages import ONE_REQUEST_CONNECTION
 from .response_collector import ResponseCollector
 
 __all__ = ["HttpEngines"]
@@ -41,6 +42,7 @@
             _JSON_CONTENT_TYPE,
             ("X-Request-Id", request.id),
             ("X-Attempt", str(request.attempt)),
+            ONE_REQUEST_CONNECTION,
         ]
         if request.resume_from:
             headers.append(("X-Resume-From", str(request.resume_from)))
@@ -49,7 +51,6 @@
             "/v1/chat/completions",
             headers,
             request.body,
-            reuse=True,
             may_send=request.may_send,
         )
         return self._client.send(address, message, listener)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_messages.py
@@ -8,7 +8,17 @@
 
 import h11
 
-__all__ = ["HttpRequest", "ResponseMatch", "max_idle_s", "serialize_request"]
+__all__ = [
+    "ONE_REQUEST_CONNECTION",
+    "HttpRequest",
+    "ResponseMatch",
+    "max_idle_s",
+    "serialize_request",
+]
+
+# Header of a request whose response does not name it. No other request gets its connection, where a
+# second copy of the response would be taken for the next one.
+ONE_REQUEST_CONNECTION = ("Connection", "close")
 
 # Fraction of the idle timeout announced by the server after which a connection is not reused, so
 # that a request is not sent while the server closes the connection.
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/services.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/services.py
@@ -3,7 +3,7 @@
 from parsleyrudder import ResponseListener, ServiceRequest
 
 from .http_client import Exchange, HttpClient
-from .http_messages import HttpRequest
+from .http_messages import ONE_REQUEST_CONNECTION, HttpRequest
 
 __all__ = ["HttpServices"]
 
@@ -15,14 +15,17 @@
         self._client = client
 
     def call(self, address: str, request: ServiceRequest, listener: ResponseListener) -> Exchange:
-        """Send a call; only an idempotent call may reuse a connection."""
-        headers = [("X-Request-Id", request.id), ("X-Attempt", str(request.attempt))]
+        """Send a call."""
+        headers = [
+            ("X-Request-Id", request.id),
+            ("X-Attempt", str(request.attempt)),
+            ONE_REQUEST_CONNECTION,
+        ]
         message = HttpRequest(
             request.method,
             request.target,
             [*request.headers, *headers],
             request.body,
-            reuse=request.idempotent,
             may_send=request.may_send,
         )
         return self._client.send(address, message, listener)
