Close the connections of a stand-in that is stopped

Cause: a stand-in server that is stopped cancels the tasks of its connections, and a cancelled task did not close its connection.

Evidence: test_a_stand_in_that_is_stopped_closes_its_connections failed before (the client got no end of the connection within its time limit).

--- a/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/tests/test_web.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 
+from parsleyrudder_standins.threaded import StandInServer
 from parsleyrudder_standins.web import serve
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -39,3 +40,22 @@
         asyncio.run(_reset_while_a_response_is_written())
         gc.collect()
     assert "never retrieved" not in caplog.text
+
+
+async def _respond(request, reply):
+    await reply.send(200, b"ok")
+
+
+def test_a_stand_in_that_is_stopped_closes_its_connections():
+    """The garbage collector closed them, and its error made a later test fail that parsed code."""
+    server = StandInServer(_respond)
+    host, port = server.address.split(":")
+    with socket.create_connection((host, int(port)), timeout=1.0) as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        connection.recv(1)
+        gc.disable()
+        try:
+            server.close()
+            assert connection.makefile("rb").read().startswith(b"TTP/1.1 200")
+        finally:
+            gc.enable()
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
@@ -99,9 +99,13 @@
     """Start a server on a port of the loopback interface; 0 takes a free port."""
 
     async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError):
-            await _serve_connection(handler, reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(
+                ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError
+            ):
+                await _serve_connection(handler, reader, writer)
+        finally:
+            writer.close()
 
     return await asyncio.start_server(on_connection, "127.0.0.1", port)
 
