--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_second_copies.py
@@ -65,11 +65,35 @@
     server.close()
 
 
-def test_a_response_that_names_no_request_is_accepted_on_a_new_connection(loop, client):
+def test_each_response_that_names_no_request_is_accepted_on_a_new_connection(loop, client):
+    """The second request used the connection of the first, where its response was not accepted."""
+
+    def serve(server, connection):
+        for _ in range(2):
+            server.receive(connection)
+            connection.sendall(response(b"", b"own", "length"))
+
+    server = ScriptedServer(serve, serve)
+    assert [call(loop, client, server, id).body for id in ("a", "b")] == [b"own", b"own"]
+    server.close()
+
+
+def test_a_connection_is_not_used_again_after_a_second_copy(loop, client):
+    """Each further copy, once it named no request, broke off the request of another caller."""
+
     def serve(server, connection):
         server.receive(connection)
-        connection.sendall(response(b"", b"own", "length"))
+        connection.sendall(response(b"a", b"first", "length"))
+        server.receive(connection)
+        connection.sendall(response(b"a", b"first", "length"))
+        connection.sendall(response(b"b", b"second", "length"))
+        server.receive(connection)
 
-    server = ScriptedServer(serve)
-    assert call(loop, client, server, "a").body == b"own"
+    def serve_anew(server, connection):
+        server.receive(connection)
+        connection.sendall(response(b"c", b"third", "length"))
+
+    server = ScriptedServer(serve, serve_anew)
+    bodies = [call(loop, client, server, id).body for id in ("a", "b", "c")]
+    assert bodies == [b"first", b"second", b"third"]
     server.close()
--- a/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
+++ b/packages/parsleyrudder_standins/parsleyrudder_standins/web.py
@@ -42,6 +42,11 @@
         """Whether the connection is closed or closing."""
         return self._writer.is_closing()
 
+    @property
+    def connection(self) -> asyncio.StreamWriter:
+        """The connection, which later requests may share."""
+        return self._writer
+
     async def send(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
         """Send a complete response."""
         fields = {"Content-Length": str(len(body)), **(headers or {})}
@@ -94,9 +99,13 @@
     """Start a server on a port of the loopback interface; 0 takes a free port."""
 
     async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError):
-            await _serve_connection(handler, reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(
+                ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError
+            ):
+                await _serve_connection(handler, reader, writer)
+        finally:
+            writer.close()
 
     return await asyncio.start_server(on_connection, "127.0.0.1", port)
 
