Infer a version only from what was read after the caller came back

What callers saw: during a release a router was cut off from the others, or stood still, while targets of a new version joined. Streams that had begun on these targets through other routers broke, were resumed at this router and went on at a target of another version.

Cause: a router that knew one version, and got no reply that named another, took it for the version of the stream. Three ways to be wrong: - Some routers did not reply, and "up to date" meant that the configuration (another table than the targets) had been confirmed within 2 to 3 s. - No router was asked, or only one that was cut off as well: after 3 s of silence the others are not on the ring, so that "all have replied" held, and then the age was not looked at. - All replied, but the router that had begun the stream was the only one that had read the new version yet.

Now an inference needs this router's copy of the targets to be confirmed by a read that was sent after the resumption arrived, and besides either the replies of all asked routers or a read of the versions that was sent after it (a version may have come and gone while this router was out of step). While the store is away, the replies have to do, but only if no known router is silent. The inquiry waits up to 1 s for this, as callers give up after 2 s of silence. Reads are shared by all inquiries and sent at most once in 0.2 s; they run beside the call that waits for a change, and end an outage as soon as the store answers one of them.

An inquiry for a caller that names no stream asks for the versions of its pool under a key of the pool, as it now waits for replies.

Evidence: test_a_router_out_of_step_..., 12 cases, test_a_stream_of_a_ version_that_only_one_router_has_read_..., 2 cases, and test_a_version_ that_came_and_went_... failed on the code before: 'v1' was found for streams of v2. test_a_copy_is_confirmed_when_it_is_needed had nothing to call. test_a_stream_goes_on_in_a_fleet_of_one_version guards the other side, a store that is away from all routers.

The table of test_stream_origins changes its expectations: "no reply and current configuration" no longer infers, nor does "all replied and out of date"; every case that was unknown stays unknown.

Ruled out: a suspended clock; now() counts the time of a suspension. Not covered: a target that starts again under its id with another version, until its new entry has been read.

--- a/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/__init__.py
@@ -23,7 +23,13 @@
 )
 from .relays import RelayedRequest, SendEnd
 from .retries import RetryBudget
-from .stream_origins import STREAM_KEY_BYTES, OriginInquiry, StreamOrigins, stream_key
+from .stream_origins import (
+    STREAM_KEY_BYTES,
+    OriginEvidence,
+    OriginInquiry,
+    StreamOrigins,
+    stream_key,
+)
 from .streams import CompletionStream, StreamPart
 from .version_history import PoolVersion, VersionHistory
 
@@ -43,6 +49,7 @@
     "KeyRow",
     "KeyState",
     "KeyWrite",
+    "OriginEvidence",
     "OriginInquiry",
     "PoolVersion",
     "RelayedRequest",
--- a/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
@@ -17,7 +17,7 @@
 
 from ..messages import OriginReply, StreamStart
 
-__all__ = ["STREAM_KEY_BYTES", "OriginInquiry", "StreamOrigins", "stream_key"]
+__all__ = ["STREAM_KEY_BYTES", "OriginEvidence", "OriginInquiry", "StreamOrigins", "stream_key"]
 
 STREAM_KEY_BYTES = 8
 _MAX_STREAMS = 20_000
@@ -104,45 +104,77 @@
             self._known_by_key.popitem(last=False)
 
 
+@dataclass(slots=True, frozen=True)
+class OriginEvidence:
+    """What a router knows of the versions in use, besides the replies to its inquiry.
+
+    :ivar is_history_complete: see :meth:`VersionHistory.is_complete`.
+    :ivar targets_confirmed_at: time at which its copy of the targets was known to be up to date.
+    :ivar versions_read_at: time at which the last read of the versions in the store was sent.
+    :ivar is_store_away: whether the store gives no answer, so that the replies have to do.
+    :ivar is_fleet_whole: whether all known routers are active, so that this router and those that
+        it asks are not cut off from others that reach the store.
+    """
+
+    is_history_complete: bool
+    targets_confirmed_at: float
+    versions_read_at: float
+    is_store_away: bool
+    is_fleet_whole: bool
+
+
 @dataclass(slots=True)
 class OriginInquiry:
     """One question to other routers about a stream that a caller resumes.
 
     :ivar pool: pool in which the stream would go on.
-    :ivar asked: names of the routers that have not replied yet.
+    :ivar began_at: time at which the caller asked for the rest of the stream.
     :ivar versions: versions that the pool's targets have had lately, as far as any router knows.
-    :ivar is_closed: whether no further reply is waited for.
+    :ivar unanswered: names of the routers that were asked and have not replied yet.
+    :ivar replied: names of those that have.
+    :ivar is_closed: whether the result has been reported.
     """
 
     key: bytes
     pool: str
-    asked: set[str]
+    began_at: float
     versions: set[str]
     start: StreamStart | None = None
+    unanswered: set[str] = field(default_factory=set)
+    replied: set[str] = field(default_factory=set)
     is_closed: bool = False
 
+    def record_asked(self, names: Iterable[str]) -> None:
+        """Record the routers that are expected to reply now; others are not waited for."""
+        self.unanswered = set(names) - self.replied
+
     def record_reply(self, reply: OriginReply) -> None:
         """Merge the reply of a router."""
-        self.asked.discard(reply.sender)
+        self.unanswered.discard(reply.sender)
+        self.replied.add(reply.sender)
         self.versions.update(reply.versions)
         self.start = self.start or reply.start
 
     @property
-    def is_settled(self) -> bool:
-        """Whether no further reply can change the result."""
-        return self.start is not None or not self.asked
-
-    def result(self, is_complete: bool, is_current: bool) -> StreamStart | None:
-        """Return where the stream began, or None if its version is unknown.
+    def is_answered(self) -> bool:
+        """Whether other routers were asked, and all of them have replied."""
+        return bool(self.replied) and not self.unanswered
 
-        If all targets have had the same version lately, the stream has begun at that one.
+    def may_infer(self, evidence: OriginEvidence) -> bool:
+        """Whether it is certain that all targets have had the same version lately.
 
-        :param is_complete: see :meth:`VersionHistory.is_complete`.
-        :param is_current: whether this router's own knowledge of the targets is up to date; if not,
-            other routers may have begun streams at versions that it does not know.
+        The stream may have begun at a version that has joined since this router last read the
+        targets, and the routers that know it may not reply. So both the targets and either the
+        versions are to be read, or all asked routers to be heard, after the inquiry began. While
+        the store is away from a whole fleet, the routers that reply know what any router knows.
         """
-        if self.start is not None or len(self.versions) > 1:
-            return self.start
-        if not is_complete or (self.asked and not is_current):
-            return None
+        if len(self.versions) > 1 or not evidence.is_history_complete:
+            return False
+        is_current = evidence.targets_confirmed_at >= self.began_at
+        if is_current and (self.is_answered or evidence.versions_read_at >= self.began_at):
+            return True
+        return evidence.is_store_away and self.is_answered and evidence.is_fleet_whole
+
+    def inferred_start(self) -> StreamStart:
+        """Return where the stream began if :meth:`may_infer` holds."""
         return StreamStart(self.key, self.pool, next(iter(self.versions), ""))
--- a/packages/parsleyrudder/parsleyrudder/delivery/tests/test_stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import pytest
 from parsleyrudder import (
+    OriginEvidence,
     OriginInquiry,
     OriginReply,
     PoolVersion,
@@ -20,33 +21,69 @@
     return OriginReply(sender, KEY, start, versions)
 
 
+BEGAN_AT = 100.0
+
+
+def evidence(targets=True, versions=False, away=False, whole=True, complete=True):
+    """Return evidence; ``targets`` and ``versions`` say whether they were read since the start."""
+    return OriginEvidence(
+        complete,
+        BEGAN_AT if targets else BEGAN_AT - 0.1,
+        BEGAN_AT if versions else BEGAN_AT - 0.1,
+        away,
+        whole,
+    )
+
+
+AWAY = evidence(targets=False, away=True)
+
+
 @pytest.mark.parametrize(
-    ("own_versions", "replies", "is_current", "expected"),
+    ("own_versions", "replies", "known", "expected"),
     [
-        pytest.param({"v1", "v2"}, [reply("a", START)], True, "v1", id="told"),
-        pytest.param({"v2"}, [reply("a", START)], False, "v1", id="told-although-out-of-date"),
-        pytest.param({"v1", "v2"}, [reply("a"), reply("b")], True, None, id="nobody-knows"),
-        pytest.param({"v2"}, [reply("a"), reply("b")], True, None, id="another-has-seen-v1"),
-        pytest.param({"v1"}, [reply("a"), reply("b")], True, "v1", id="only-one-version"),
-        pytest.param({"v1"}, [], True, "v1", id="only-one-version-and-no-reply"),
-        pytest.param({"v1"}, [], False, None, id="cut-off-and-no-reply"),
-        pytest.param({"v1"}, [reply("a")], False, None, id="cut-off-and-one-reply"),
+        pytest.param({"v1", "v2"}, [reply("a", START)], evidence(), "v1", id="told"),
+        pytest.param({"v2"}, [reply("a", START)], AWAY, "v1", id="told-although-out-of-date"),
+        pytest.param({"v1", "v2"}, [reply("a"), reply("b")], evidence(), None, id="nobody-knows"),
+        pytest.param({"v2"}, [reply("a"), reply("b")], evidence(), None, id="other-has-seen-v1"),
+        pytest.param({"v1"}, [reply("a"), reply("b")], evidence(), "v1", id="only-one-version"),
         pytest.param(
-            {"v1"}, [reply("a"), reply("b")], False, "v1", id="out-of-date-but-all-replied"
+            {"v1"}, [reply("a"), reply("b")], evidence(targets=False), None, id="copy-out-of-date"
+        ),
+        pytest.param({"v1"}, [], evidence(), None, id="no-reply-and-versions-not-read"),
+        pytest.param({"v1"}, [], evidence(versions=True), "v1", id="no-reply-but-all-read"),
+        pytest.param({"v1"}, [], AWAY, None, id="cut-off-and-no-reply"),
+        pytest.param({"v1"}, [reply("a")], AWAY, None, id="store-away-and-one-reply"),
+        pytest.param({"v1"}, [reply("a"), reply("b")], AWAY, "v1", id="store-away-but-all-replied"),
+        pytest.param(
+            {"v1"},
+            [reply("a"), reply("b")],
+            evidence(targets=False, away=True, whole=False),
+            None,
+            id="store-away-and-others-silent",
+        ),
+        pytest.param(
+            set(), [reply("a", versions=()), reply("b", versions=())], AWAY, "", id="none"
         ),
-        pytest.param(set(), [reply("a", versions=())], True, "", id="no-targets"),
     ],
 )
 def test_a_stream_goes_on_where_it_began_or_where_there_is_only_one_version(
-    own_versions, replies, is_current, expected
+    own_versions, replies, known, expected
 ):
-    inquiry = OriginInquiry(KEY, "p", {"a", "b"}, set(own_versions))
+    inquiry = OriginInquiry(KEY, "p", BEGAN_AT, set(own_versions))
+    inquiry.record_asked({"a", "b"})
     for received in replies:
         inquiry.record_reply(received)
-    result = inquiry.result(is_complete=True, is_current=is_current)
+    inferred = inquiry.inferred_start() if inquiry.may_infer(known) else None
+    result = inquiry.start or inferred
     assert (result.version if result else None) == expected
-    if inquiry.start is None:
-        assert inquiry.result(is_complete=False, is_current=is_current) is None
+    assert not inquiry.may_infer(evidence(versions=True, complete=False))
+
+
+def test_an_inquiry_without_a_router_to_ask_is_not_answered():
+    """A router that was cut off for long took the silence of all others for their consent."""
+    inquiry = OriginInquiry(KEY, "p", BEGAN_AT, {"v1"})
+    inquiry.record_asked([])
+    assert not inquiry.may_infer(evidence(away=True))
 
 
 def test_own_streams_are_told_once_and_only_in_mixed_pools():
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -177,6 +177,7 @@
                 self._on_target_changes,
             ),
         }
+        self.origins.watch_targets(self._watch_by_table[decoder.target_table])
         self.api = RelayApi(self.context, self.origins, rng, self._request_refusal)
         self._http_server = self._listen(settings.callers, self.api)
         self._state_report = StateReport(self.context, self.api, self._http_server, poller)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from parsleyrudder import (
     HashRing,
@@ -21,6 +21,7 @@
 from parsleyrudder_adapters.peers import PeerLink
 
 from .context import RelayContext, now
+from .origin_inquiries import OriginCallback, OriginInquiries, TargetSource
 from .stream_store import StreamStore
 from .version_store import StoredVersions, VersionStore
 
@@ -32,7 +33,6 @@
 # Routers that are asked for a stream: more than the holders, since the routers on the ring may have
 # changed after it began.
 _ASKED_COUNT = 8
-_REPLY_TIMEOUT_S = 0.3
 _REFRESH_INTERVAL_S = 0.25
 # Time after the start in which the routers find each other, so that not all of them write.
 _JOIN_TIME_S = 1.0
@@ -40,8 +40,6 @@
 # Age up to which streams are told to the routers that become their holders.
 _RETOLD_AGE_S = 30.0
 
-OriginCallback = Callable[[StreamStart | None], None]
-
 
 class OriginTask:
     """Tells other routers of the streams that this one begins, and asks them for others.
@@ -66,12 +64,25 @@
         self._incarnation_by_name: dict[str, int] = {}
         # Pools whose streams are told to others, as their targets have several versions.
         self._told_pools: set[str] = set()
-        self._inquiry_by_key: dict[bytes, OriginInquiry] = {}
-        self._callbacks_by_key: dict[bytes, list[OriginCallback]] = defaultdict(list)
+        self._inquiries = OriginInquiries(
+            context,
+            self._versions,
+            version_store,
+            stream_store,
+            self,
+            lambda start: self._origins.record_reported([start], now()),
+        )
         self.link: PeerLink | None = None
 
+    def watch_targets(self, targets: TargetSource) -> None:
+        """Set this router's copy of the targets; called before the start."""
+        self._inquiries.targets = targets
+
     def start(self) -> None:
         """Read the versions from before this start, and start to follow versions and routers."""
+        self._version_store.follow(
+            lambda stored: self._versions.record_earlier(stored.versions, now())
+        )
         self._version_store.start(self._on_stored_versions)
         self.refresh()
 
@@ -117,15 +128,13 @@
         :param pool: pool in which the stream would go on.
         :param callback: called once, with None if the version is unknown.
         """
-        key = stream_key(request) if request else b""
+        key = stream_key(request) if request else _unnamed_key(pool)
         start = self._origins.find(key)
         if start is not None:
-            self._count("local")
+            self._context.metrics.count("streams_resumed", origin="local")
             callback(start)
             return
-        self._callbacks_by_key[key].append(callback)
-        if key not in self._inquiry_by_key:
-            self._begin_inquiry(key, pool)
+        self._inquiries.begin(key, pool, callback)
 
     def on_message(self, message: Message) -> None:
         """Handle a message from another router."""
@@ -135,7 +144,7 @@
         elif isinstance(message, OriginRequest):
             self._reply(message)
         elif isinstance(message, OriginReply):
-            self._on_reply(message)
+            self._inquiries.on_reply(message)
 
     def _refresh_ring(self) -> None:
         """Adopt the routers that are active now, and tell new holders of recent streams."""
@@ -213,86 +222,36 @@
         own = self._own_name
         return [name for name in ring.successors(key, count + 1) if name != own][:count]
 
-    def _begin_inquiry(self, key: bytes, pool: str) -> None:
-        versions = self._versions.versions(pool, now())
-        inquiry = self._inquiry_by_key[key] = OriginInquiry(key, pool, set(), versions)
-        if not key:
-            self._settle(inquiry)
-            return
+    def asked_routers(self, key: bytes) -> list[str]:
+        """See :class:`OriginPeers`."""
         self._refresh_ring()
-        if len(self._ring.names) > 1:
-            self._ask(inquiry)
-        else:
-            # A router that has just started may not have found the others yet.
-            self._context.timers.after(_REPLY_TIMEOUT_S, lambda: self._ask(inquiry))
-
-    def _ask(self, inquiry: OriginInquiry) -> None:
-        inquiry.asked.update(self._others(self._ring, inquiry.key, _ASKED_COUNT))
-        if inquiry.is_settled:
-            self._settle(inquiry)
-            return
-        for name in sorted(inquiry.asked):
-            self._send(name, OriginRequest(self._own_name, inquiry.key, inquiry.pool))
-        self._context.timers.after(_REPLY_TIMEOUT_S, lambda: self._settle(inquiry))
+        return self._others(self._ring, key, _ASKED_COUNT)
+
+    def active_count(self) -> int:
+        """See :class:`OriginPeers`."""
+        return len(self._ring.names)
+
+    def is_fleet_whole(self) -> bool:
+        """See :class:`OriginPeers`."""
+        view = self._context.view
+        known = {info.name for info in view.peers(now()) if not view.is_leaving(info.name)}
+        return known <= self._ring.names
+
+    def ask(self, name: str, inquiry: OriginInquiry) -> None:
+        """See :class:`OriginPeers`."""
+        self._send(name, OriginRequest(self._own_name, inquiry.key, inquiry.pool))
 
     def _reply(self, request: OriginRequest) -> None:
         versions = tuple(sorted(self._versions.versions(request.pool, now())))
         start = self._origins.find(request.key)
         self._send(request.sender, OriginReply(self._own_name, request.key, start, versions))
 
-    def _on_reply(self, reply: OriginReply) -> None:
-        inquiry = self._inquiry_by_key.get(reply.key)
-        if inquiry is not None:
-            inquiry.record_reply(reply)
-            if inquiry.is_settled:
-                self._settle(inquiry)
-
-    def _settle(self, inquiry: OriginInquiry) -> None:
-        """Settle an inquiry to which no further reply is expected; does nothing the second time."""
-        if inquiry.is_closed:
-            return
-        inquiry.is_closed = True
-        start = inquiry.result(self._versions.is_complete(now()), self._is_current())
-        if start is not None:
-            self._report(inquiry, start, "told" if inquiry.start else "inferred")
-        elif not inquiry.key:
-            self._report(inquiry, None, "unknown")
-        else:
-            self._stream_store.find(
-                inquiry.key,
-                lambda found: self._report(inquiry, found, "recorded" if found else "unknown"),
-            )
-
-    def _report(self, inquiry: OriginInquiry, start: StreamStart | None, origin: str) -> None:
-        """Report the result of an inquiry to those who wait for it."""
-        del self._inquiry_by_key[inquiry.key]
-        if origin in ("told", "recorded") and start is not None:
-            self._origins.record_reported([start], now())
-        self._count(origin)
-        if start is None:
-            log_event(
-                _LOGGER,
-                "stream_origin_unknown",
-                logging.WARNING,
-                stream=inquiry.key.hex() or None,
-                pool=inquiry.pool,
-                versions=",".join(sorted(inquiry.versions)),
-                history_complete=self._versions.is_complete(now()),
-                unanswered=",".join(sorted(inquiry.asked)) or None,
-                routers=len(self._ring.names),
-            )
-        for callback in self._callbacks_by_key.pop(inquiry.key):
-            callback(start)
-
-    def _is_current(self) -> bool:
-        """Whether this router is in contact with the store, and so knows all versions."""
-        context = self._context
-        return context.active_config.age_s(now()) < context.settings.bounds.apply_s
-
-    def _count(self, origin: str) -> None:
-        self._context.metrics.count("streams_resumed", origin=origin)
-
     def _send(self, name: str, message: Message) -> None:
         info = self._context.view.info(name)
         if info is not None and self.link is not None:
             self.link.send(info.peer_address, message)
+
+
+def _unnamed_key(pool: str) -> bytes:
+    """Return the key by which the versions of a pool are asked for; no stream has it."""
+    return stream_key(f"pool\0{pool}")
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -118,11 +118,53 @@
         self._retry_s = _FIRST_RETRY_S
         self._is_call_in_flight = False
         self._next_call: Timer | None = None
+        self._read_sent_at = float("-inf")
+
+    @property
+    def confirmed_at(self) -> float:
+        """Local time at which this router's copy was known to be up to date."""
+        return self._copy.confirmed_at
+
+    @property
+    def is_store_down(self) -> bool:
+        """Whether the store has not answered the last call."""
+        return self._is_store_down
 
     def start(self) -> None:
         """Start to follow the table."""
         self._call_store()
 
+    def confirm(self, done: Callable[[bool], None]) -> None:
+        """Bring the copy up to date now, beside the call that may wait for the next change.
+
+        :param done: called once, with whether the store has answered.
+        """
+        sent_at = now()
+        after = self._copy.revision
+
+        def on_read(page: FeedPage | TableError) -> None:
+            if isinstance(page, FeedPage):
+                self._apply_read(page, sent_at)
+                self._record_answer()
+            done(isinstance(page, FeedPage))
+
+        def on_changes(page: FeedPage | TableError) -> None:
+            if isinstance(page, FeedGapError):
+                self._feed.read(self._table, on_read)
+                return
+            if isinstance(page, FeedPage) and self._copy.revision is not None:
+                self._apply_changes(page, sent_at)
+                self._record_answer()
+                if self._peers.is_reader() and after is not None and not page.is_empty:
+                    # The next call for changes does not return them again.
+                    self._publish(page, after)
+            done(isinstance(page, FeedPage))
+
+        if after is None or self._is_store_down:
+            self._feed.read(self._table, on_read)
+        else:
+            self._feed.changes(self._table, after, 0.0, on_changes)
+
     def on_news(self, news: TableNews) -> None:
         """Handle changes that another router has read."""
         if self._is_store_down or self._copy.revision is None:
@@ -162,20 +204,31 @@
         if isinstance(page, TableError):
             self._on_error(page)
             return
+        self._apply_read(page, sent_at)
+        self._on_success(0.0)
+
+    def _apply_read(self, page: FeedPage, sent_at: float) -> None:
+        """Apply a full read, unless one that was sent later has been applied."""
+        is_older = self._copy.revision is not None and page.revision < self._copy.revision
+        if sent_at < self._read_sent_at or (is_older and not self._is_store_down):
+            return
+        self._read_sent_at = sent_at
         if self._is_store_down:
             log_event(_LOGGER, "store_back", table=self._table, revision=page.revision)
         self._copy.apply_read(page, sent_at)
         self._on_read(page, self._is_store_down)
-        self._on_success(0.0)
+
+    def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
+        new = self._copy.apply_changes(page, sent_at)
+        if not new.is_empty:
+            self._on_change(new)
 
     def _on_changes_done(self, page: FeedPage | TableError, after: int, sent_at: float) -> None:
         self._is_call_in_flight = False
         if isinstance(page, TableError):
             self._on_error(page)
             return
-        new = self._copy.apply_changes(page, sent_at)
-        if not new.is_empty:
-            self._on_change(new)
+        self._apply_changes(page, sent_at)
         if self._peers.is_reader():
             self._publish(page, after)
         self._on_success(0.0 if page.is_empty else self._rules.coalesce_s)
@@ -195,10 +248,13 @@
             )
         )
 
-    def _on_success(self, delay_s: float) -> None:
+    def _record_answer(self) -> None:
         self._is_store_down = False
         self._retry_s = _FIRST_RETRY_S
         self._on_confirmed(self._copy.confirmed_at)
+
+    def _on_success(self, delay_s: float) -> None:
+        self._record_answer()
         self._schedule_call(delay_s)
 
     def _schedule_call(self, delay_s: float) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
@@ -9,6 +9,8 @@
     def __init__(self, failures=0):
         self.failures = failures
         self.rows: dict[str, Row] = {}
+        self.removed: dict[str, int] = {}
+        self.revision = 1
         self.puts = 0
         self.reads = 0
 
@@ -21,20 +23,51 @@
         if self._fails():
             done(TableError("away", "retry"))
         else:
-            done(FeedPage(list(self.rows.values()), {}, 1, 0.0))
+            done(FeedPage(list(self.rows.values()), {}, self.revision, 0.0))
+
+    def changes(self, table, after, wait_s, done):
+        self.reads += 1
+        if self._fails():
+            done(TableError("away", "retry"))
+            return
+        rows = [row for row in self.rows.values() if row.revision > after]
+        removed = {key: at for key, at in self.removed.items() if at > after}
+        done(FeedPage(rows, removed, self.revision, 0.0))
 
     def put(self, table, key, value, done):
         self.puts += 1
         if self._fails():
             done(TableError("away", "retry"))
         else:
-            self.rows[key] = Row(key, value, 1)
+            self.revision += 1
+            self.rows[key] = Row(key, value, self.revision)
+            self.removed.pop(key, None)
             done(True)
 
     def remove_all(self, table, keys, done):
         if self._fails():
             done(TableError("away", "retry"))
             return
+        self.revision += 1
         for key in keys:
-            self.rows.pop(key, None)
+            if self.rows.pop(key, None) is not None:
+                self.removed[key] = self.revision
         done(True)
+
+
+class RouterFeed:
+    """The table as one router reaches it; while it is cut off, its calls fail.
+
+    :param is_cut_off: returns whether the router is cut off from the store.
+    """
+
+    def __init__(self, feed, is_cut_off):
+        self._feed = feed
+        self._is_cut_off = is_cut_off
+
+    def __getattr__(self, name):
+        return _fail if self._is_cut_off() else getattr(self._feed, name)
+
+
+def _fail(*args):
+    args[-1](TableError("cut off", "retry"))
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -1,6 +1,9 @@
 """Routers that tell each other where streams began, over a network that delivers at once."""
 
+import heapq
+import itertools
 import random
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
@@ -8,48 +11,92 @@
 from parsleyrudder import RouterInfo, Target
 from parsleyrudder.messages import encode_message
 from parsleyrudder_daemon.metrics import Metrics
-from parsleyrudder_daemon.relay import origin_task, stream_store
+from parsleyrudder_daemon.relay import (
+    coalesced_read,
+    origin_inquiries,
+    origin_task,
+    stream_store,
+)
 from parsleyrudder_daemon.relay.origin_task import OriginTask
 from parsleyrudder_daemon.relay.stream_store import StreamStore
 from parsleyrudder_daemon.relay.version_store import VersionStore
 
-from .memory_feed import Feed
+from .memory_feed import Feed, RouterFeed
 
 MIXED = ("v1", "v2")
 
 
+class TargetWatch:
+    """A router's watch of the targets, whose calls the store answers at once, or not at all."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+        self.confirmed_at = network.now
+
+    @property
+    def is_store_down(self):
+        return self.name in self.network.known_outage
+
+    def confirm(self, done):
+        """Read the targets from the store."""
+        if self.name in self.network.cut_off_from_store:
+            return
+        self.confirmed_at = self.network.now
+        self.network.learn_versions(self.name)
+        done(True)
+
+
 class Network:
-    """Routers by name, created when they are needed; messages to dead ones are lost."""
+    """Routers by name, created when they are needed; messages to dead ones are lost.
+
+    :ivar versions: versions of the targets in the store.
+    :ivar cut_off: routers whose messages from and to others are lost.
+    :ivar seen_by_name: routers that one takes for active, if not all that are alive.
+    :ivar cut_off_from_store: routers that get no answer of the store.
+    :ivar known_outage: those of them that know it.
+    """
 
     def __init__(self, monkeypatch, router_count, versions):
         self.now = 1000.0
         self.versions = versions
         self.names = [f"r{number}" for number in range(router_count)]
         self.dead: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.seen_by_name: dict[str, set[str]] = {}
+        self.cut_off_from_store: set[str] = set()
+        self.known_outage: set[str] = set()
         self.task_by_name: dict[str, OriginTask] = {}
         self.timers: list[Any] = []
+        self._timer_number = itertools.count()
         self.sent: list[tuple[str, int]] = []
         self.version_feed: Any = Feed()
         self.stream_feed: Any = Feed()
         self.first_start = True
-        monkeypatch.setattr(origin_task, "now", lambda: self.now)
-        monkeypatch.setattr(stream_store, "now", lambda: self.now)
+        for module in (origin_task, origin_inquiries, coalesced_read, stream_store):
+            monkeypatch.setattr(module, "now", lambda: self.now)
 
     def __getitem__(self, name):
         if name not in self.task_by_name:
             context = self._context(name)
             task = self.task_by_name[name] = OriginTask(
                 context,
-                VersionStore(self.version_feed, context.timers, "versions"),
-                StreamStore(self.stream_feed, context.timers, name, "streams"),
+                VersionStore(self._feed(name, self.version_feed), context.timers, "versions"),
+                StreamStore(self._feed(name, self.stream_feed), context.timers, name, "streams"),
             )
-            task.link = SimpleNamespace(send=self._send)  # type: ignore[assignment]
+            task.link = SimpleNamespace(send=partial(self._send, name))  # type: ignore[assignment]
+            task.watch_targets(TargetWatch(self, name))
             task.start()
         return self.task_by_name[name]
 
     def targets(self):
         return {v: Target(v, "p", "10.0.0.1:1", "a", 4, version=v) for v in self.versions}
 
+    def learn_versions(self, name):
+        """Let a router know the targets as they are in the store."""
+        self[name]._context.targets.by_id = self.targets()
+        self[name].refresh_versions()
+
     def refresh(self):
         for task in list(self.task_by_name.values()):
             task.refresh()
@@ -64,30 +111,46 @@
         del self.task_by_name[name]
 
     def advance(self, seconds):
-        self.now += seconds
-        due, self.timers = self.timers, []
-        for callback in due:
+        end = self.now + seconds
+        while self.timers and self.timers[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self.timers)
             callback()
+        self.now = end
 
     def find(self, name, request):
         """Return the version that a router finds for a stream; None if it finds none."""
         found: list[Any] = []
         self[name].find(request, "p", found.append)
-        if not found:
-            self.advance(0.5)
+        for _ in range(11):
+            if not found:
+                self.advance(0.1)
         assert len(found) == 1
         return found[0].version if found[0] else None
 
-    def _send(self, address, message):
+    def _send(self, sender, address, message):
         self.sent.append((type(message).__name__, len(encode_message(message))))
-        if address not in self.dead:
+        if address not in self.dead and not {sender, address} & self.cut_off:
             self[address].on_message(message)
 
+    def _feed(self, name, feed):
+        return RouterFeed(feed, lambda: name in self.cut_off_from_store)
+
+    def _after(self, delay_s, callback):
+        if callback.__name__ != "refresh":
+            entry = (self.now + delay_s, next(self._timer_number), callback)
+            heapq.heappush(self.timers, entry)
+
+    def _seen(self, name):
+        alive = [n for n in self.names if n not in self.dead]
+        return self.seen_by_name.get(name, alive)
+
     def _context(self, name) -> Any:
         info_by_name = {n: RouterInfo(n, 1, "a", n, n) for n in self.names}
         view = SimpleNamespace(
             own_info=info_by_name[name],
-            active_routers=lambda at: [n for n in self.names if n not in self.dead],
+            active_routers=lambda at: self._seen(name),
+            peers=lambda at: [info for info in info_by_name.values() if info.name != name],
+            is_leaving=lambda other: False,
             info=info_by_name.get,
         )
         return SimpleNamespace(
@@ -98,11 +161,7 @@
             settings=SimpleNamespace(
                 bounds=SimpleNamespace(apply_s=2.0), first_start=self.first_start
             ),
-            timers=SimpleNamespace(
-                after=lambda delay_s, callback: (
-                    self.timers.append(callback) if callback.__name__ != "refresh" else None
-                )
-            ),
+            timers=SimpleNamespace(after=self._after),
         )
 
 
@@ -173,7 +232,7 @@
     network["r3"].find("unknown", "p", found.append)
     network["r3"].find("unknown", "p", found.append)
     assert found == []
-    network.advance(0.5)
+    network.advance(1.1)
     assert found == [None, None]
 
 
@@ -229,6 +288,85 @@
     assert network.stream_feed.puts <= 11
 
 
+def make_fleet(monkeypatch):
+    """Return routers that have all seen one version only."""
+    network = Network(monkeypatch, 8, ("v1",))
+    for name in network.names:
+        network[name]
+    run_until_stored(network)
+    return network
+
+
+def join_while_out_of_step(monkeypatch, count, is_noticed):
+    """Let some routers miss a version; return routers, these, and the streams that began there."""
+    network = make_fleet(monkeypatch)
+    [recorder] = network["r0"]._recorders
+    out_of_step = set([name for name in network.names if name != recorder][:count])
+    network.cut_off = out_of_step
+    if is_noticed:
+        network.seen_by_name = {
+            name: {n for n in network.names if (n in out_of_step) == (name in out_of_step)}
+            for name in network.names
+        }
+    network.versions = MIXED
+    for name in set(network.names) - out_of_step:
+        network.learn_versions(name)
+    streams = [f"s{number}" for number in range(20)]
+    for stream in streams:
+        network[recorder].record_began(stream, "p", "v2")
+    network.advance(1.0)
+    return network, sorted(out_of_step), streams
+
+
+@pytest.mark.parametrize("is_noticed", [False, True], ids=["unnoticed", "noticed"])
+@pytest.mark.parametrize("reaches_store", [False, True], ids=["no-store", "store"])
+@pytest.mark.parametrize("count", [1, 2, 5])
+def test_a_router_out_of_step_does_not_take_the_version_it_knows_for_the_only_one(
+    monkeypatch, count, reaches_store, is_noticed
+):
+    network, out_of_step, streams = join_while_out_of_step(monkeypatch, count, is_noticed)
+    if not reaches_store:
+        network.cut_off_from_store = network.known_outage = set(out_of_step)
+    expected = "v2" if reaches_store else None
+    assert [network.find(out_of_step[0], stream) for stream in streams] == [expected] * 20
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.4])
+def test_a_stream_of_a_version_that_only_one_router_has_read_is_not_mixed(monkeypatch, delay_s):
+    """The router that began it was cut off from the others, all of which replied."""
+    network = make_fleet(monkeypatch)
+    network.versions = MIXED
+    network.learn_versions("r0")
+    network.cut_off = {"r0"}
+    network["r0"].record_began("s", "p", "v2")
+    network.seen_by_name = {"r1": set(network.names) - {"r0"}}
+    network.advance(delay_s)
+    assert network.find("r1", "s") in (None, "v2")
+
+
+@pytest.mark.parametrize("reaches_store", [False, True], ids=["no-store", "store"])
+def test_a_stream_goes_on_in_a_fleet_of_one_version(monkeypatch, reaches_store):
+    """Guards against refusals of all resumed streams while the store is away."""
+    network = make_fleet(monkeypatch)
+    network["r0"].record_began("s", "p", "v1")
+    network.restart("r0")
+    network["r0"]
+    if not reaches_store:
+        network.cut_off_from_store = network.known_outage = set(network.names)
+    assert network.find("r1", "s") == "v1"
+
+
+def test_a_version_that_came_and_went_while_a_router_was_out_of_step_is_known(monkeypatch):
+    """No target of it is left in the store, but its row among the versions is."""
+    network, [name], streams = join_while_out_of_step(monkeypatch, 1, is_noticed=False)
+    for _ in range(3):
+        network.advance(0.5)
+        for other in set(network.names) - {name}:
+            network[other].refresh()
+    network.versions = ("v1",)
+    assert [network.find(name, stream) for stream in streams] == ["v2"] * 20
+
+
 class RandomHistory:
     """A random course of streams, versions and faults of routers and of the store."""
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -1,5 +1,6 @@
 """Watches of one table by several routers without a network: calls and detected changes."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -182,6 +183,71 @@
     assert fleet.clock.now - min(fleet.confirmed_at.values()) < RULES.max_age_s + 2 * LATENCY_S
 
 
+@pytest.mark.parametrize("name", ["r0", "r5"], ids=["reader", "follower"])
+def test_a_copy_is_confirmed_when_it_is_needed(monkeypatch, name):
+    """The call that waits for a change was sent too early to show what there is now."""
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    fleet.clock.run_until(103.0)
+    fleet.store.held.clear()
+    fleet.store.put("k")
+    answered: list[bool] = []
+    watch = fleet.watch_by_name[name]
+    watch.confirm(answered.append)
+    fleet.clock.run_until(103.0 + 3 * LATENCY_S)
+    assert answered == [True]
+    assert watch.confirmed_at >= 103.0
+    assert fleet.seen_at[name]["k"] <= fleet.clock.now
+    fleet.clock.run_until(103.0 + 6 * LATENCY_S)
+    if name in fleet.readers:
+        assert all("k" in seen for seen in fleet.seen_at.values())
+
+
+def test_an_outage_ends_with_the_first_answer_of_the_store(monkeypatch):
+    """Guards against the time for which a call without a response delays the next one."""
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    fleet.clock.run_until(103.0)
+    watch = fleet.watch_by_name["r5"]
+    fleet.store.is_up = False
+    fleet.clock.run_until(109.0)
+    answered: list[bool] = []
+    watch.confirm(answered.append)
+    fleet.clock.run_until(110.0)
+    assert answered == [False]
+    assert watch.is_store_down
+    fleet.store.is_up = True
+    fleet.store.put("k")
+    watch.confirm(answered.append)
+    fleet.clock.run_until(110.0 + 3 * LATENCY_S)
+    assert answered == [False, True]
+    assert "k" in fleet.seen_at["r5"]
+    assert not watch.is_store_down
+
+
+def test_a_read_that_arrives_late_reverts_nothing(monkeypatch):
+    """Two reads were under way at the end of an outage, and the older one came last."""
+    reads: list[Any] = []
+    applied: list[int] = []
+    now_s = iter(range(100, 200))
+    monkeypatch.setattr(table_watch, "now", lambda: float(next(now_s)))
+    feed: Any = SimpleNamespace(read=lambda table, done: reads.append(done))
+    timers: Any = SimpleNamespace(after=lambda delay_s, callback: SimpleNamespace())
+    peers: Any = SimpleNamespace(is_reader=lambda: True)
+    watch = TableWatch(
+        feed,
+        timers,
+        RULES,
+        peers,
+        "t",
+        lambda page, away: applied.append(page.revision),
+        lambda page: None,
+    )
+    watch.start()
+    watch.confirm(lambda has_answered: None)
+    reads[1](FeedPage([], {}, 7, 1.0))
+    reads[0](FeedPage([], {}, 6, 1.1))
+    assert applied == [7]
+
+
 @pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0, 15.0])
 def test_a_change_is_detected_in_time_if_a_response_is_lost(bound_s):
     """Guards against late detection of a change after a lost response.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -9,6 +9,8 @@
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
+from .coalesced_read import CoalescedRead
+
 __all__ = ["StoredVersions", "VersionStore"]
 
 _LOGGER = logging.getLogger(__name__)
@@ -16,6 +18,8 @@
 # Key of the row that is written once the table lists all versions; no version has this key.
 _COMPLETE_KEY = "complete"
 _REMOVED_PER_CALL = 100
+# Shortest time between two reads for streams whose version has to be inferred.
+_READ_INTERVAL_S = 0.2
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,6 +38,7 @@
     """One row per version of a pool, from its first target until long after its last one.
 
     :param table: table of the store for the rows.
+    :ivar reads: reads of the rows after the one at the start.
     """
 
     def __init__(self, feed: FeedService, timers: Timers, table: str) -> None:
@@ -45,6 +50,8 @@
         self._keys_in_flight: set[str] = set()
         self._is_read = False
         self._is_removing = False
+        self._on_versions: Callable[[StoredVersions], None] = lambda stored: None
+        self.reads = CoalescedRead(timers, self._read_again, _READ_INTERVAL_S)
 
     def start(self, on_read: Callable[[StoredVersions], None]) -> None:
         """Read the rows; a failed read is repeated.
@@ -61,6 +68,20 @@
 
         self._feed.read(self._table, done)
 
+    def follow(self, on_versions: Callable[[StoredVersions], None]) -> None:
+        """Set the function that is called with the rows of each later read."""
+        self._on_versions = on_versions
+
+    def _read_again(self, done: Callable[[bool], None]) -> None:
+        def on_page(page: FeedPage | TableError) -> None:
+            if isinstance(page, TableError):
+                log_event(_LOGGER, "versions_not_read", logging.WARNING, reason=page)
+            else:
+                self._on_versions(self._decode(page))
+            done(isinstance(page, FeedPage))
+
+        self._feed.read(self._table, on_page)
+
     def save(self, versions: Iterable[PoolVersion], is_complete: bool) -> None:
         """Write the rows of versions that are not stored; a failed write may be repeated later.
 
