Ask and read again for the origin of a stream while its caller waits

What callers saw: after many routers had been killed, or cut off, or while the store was away, streams that were resumed got "origin_unknown" although the answer could have been known.

Cause: an inquiry asked once, waited 0.3 s, and looked at the record in the store once: - The record was not read again for 2 s after a read, so a stream that was recorded since was unknown, and after a mass break all resumptions come within that time. - A read that failed counted as "not recorded". - Routers whose connections came back after more than 0.3 s were not asked again. - The router that was to record a stream, and knew it before its row was written, was not asked unless it was a holder.

Now an inquiry stays open for up to 1 s, asks those that have not replied again every 0.3 s, and reads the record again, at most once in 0.2 s for all inquiries together. After the first read only the changes since the last one are read, so that the table is not transferred several times a second. It ends at once when all asked routers have replied and a read that was sent after it began shows no record. The number of asked routers stays eight: the recorder takes the place of the last one.

--- a/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/stream_origins.py
@@ -132,6 +132,7 @@
     :ivar versions: versions that the pool's targets have had lately, as far as any router knows.
     :ivar unanswered: names of the routers that were asked and have not replied yet.
     :ivar replied: names of those that have.
+    :ivar is_looked_up: whether the stream has been looked up among those that were recorded.
     :ivar is_closed: whether the result has been reported.
     """
 
@@ -142,6 +143,7 @@
     start: StreamStart | None = None
     unanswered: set[str] = field(default_factory=set)
     replied: set[str] = field(default_factory=set)
+    is_looked_up: bool = False
     is_closed: bool = False
 
     def record_asked(self, names: Iterable[str]) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
@@ -22,6 +22,8 @@
 _CHECK_INTERVAL_S = 0.1
 # Time after which a router that has not replied is asked again.
 _ASK_INTERVAL_S = 0.3
+# Time after which the record of a stream that is still unknown is read again.
+_REREAD_INTERVAL_S = 0.3
 # Shortest time between two reads of the targets.
 _CONFIRM_INTERVAL_S = 0.2
 
@@ -98,6 +100,7 @@
         )
         for reads in (self._target_reads, version_store.reads):
             reads.add_listener(self._advance_all)
+        stream_store.reads.add_listener(self._on_streams_read)
         self.targets: TargetSource | None = None
 
     def begin(self, key: bytes, pool: str, callback: OriginCallback) -> None:
@@ -122,7 +125,8 @@
         """Advance an inquiry until its end, also while nothing is heard."""
         if inquiry.is_closed:
             return
-        if now() - self._asked_at_by_key[inquiry.key] >= _ASK_INTERVAL_S or not inquiry.replied:
+        has_asked = inquiry.unanswered or inquiry.replied
+        if not has_asked or now() - self._asked_at_by_key[inquiry.key] >= _ASK_INTERVAL_S:
             self._ask(inquiry)
         self._advance(inquiry)
         if not inquiry.is_closed:
@@ -149,11 +153,20 @@
             self._report(inquiry, inquiry.start, "told")
         elif inquiry.may_infer(self._evidence(is_over)):
             self._report(inquiry, inquiry.inferred_start(), "inferred")
-        elif is_over or (self._is_heard_out(inquiry) and not self._is_inferable(inquiry)):
+        elif is_over or self._is_hopeless(inquiry):
             self._look_up(inquiry)
+            if not inquiry.is_closed:
+                self._report(inquiry, None, "unknown")
         else:
             self._gather(inquiry)
 
+    def _is_hopeless(self, inquiry: OriginInquiry) -> bool:
+        """Whether nobody knows the stream, it is not recorded, and there were several versions."""
+        is_read = self._stream_store.reads.read_at >= inquiry.began_at
+        if not (is_read and inquiry.is_looked_up):
+            return False
+        return self._is_heard_out(inquiry) and not self._is_inferable(inquiry)
+
     def _is_heard_out(self, inquiry: OriginInquiry) -> bool:
         """Whether all asked routers have replied, or no other router has been found for a while."""
         is_alone = not inquiry.unanswered and now() - inquiry.began_at >= _ASK_INTERVAL_S
@@ -164,34 +177,56 @@
 
     def _evidence(self, is_over: bool) -> OriginEvidence:
         assert self.targets is not None
+        is_store_away = self.targets.is_store_down or is_over
         return OriginEvidence(
             self._versions.is_complete(now()),
             self.targets.confirmed_at,
             self._version_store.reads.read_at,
-            self.targets.is_store_down or is_over,
-            self._peers.is_fleet_whole(),
+            is_store_away,
+            is_store_away and self._peers.is_fleet_whole(),
         )
 
     def _gather(self, inquiry: OriginInquiry) -> None:
+        """Read what may settle an inquiry; routers that reply at once save most reads."""
         assert self.targets is not None
+        at = now()
+        is_delayed = at - inquiry.began_at >= _CHECK_INTERVAL_S
         if not self._is_inferable(inquiry):
+            if is_delayed or self._is_heard_out(inquiry):
+                self._read_streams(inquiry, at)
             return
-        if not inquiry.is_answered and now() - inquiry.began_at >= _CHECK_INTERVAL_S:
+        if is_delayed and not inquiry.is_answered:
             self._version_store.reads.request(inquiry.began_at)
         if self.targets.confirmed_at < inquiry.began_at:
             self._target_reads.request(inquiry.began_at)
 
+    def _read_streams(self, inquiry: OriginInquiry, at: float) -> None:
+        """Look a stream up in what was read, and read again, as it may be recorded meanwhile."""
+        self._look_up(inquiry)
+        if not inquiry.is_closed:
+            self._stream_store.reads.request(max(inquiry.began_at, at - _REREAD_INTERVAL_S))
+        if self._is_hopeless(inquiry):
+            self._advance(inquiry)
+
+    def _look_up(self, inquiry: OriginInquiry) -> None:
+        if not inquiry.is_looked_up:
+            inquiry.is_looked_up = True
+            self._report_recorded([inquiry.key])
+
+    def _on_streams_read(self) -> None:
+        self._report_recorded(list(self._inquiry_by_key))
+        self._advance_all()
+
+    def _report_recorded(self, keys: list[bytes]) -> None:
+        for start in self._stream_store.find(keys) if keys else ():
+            inquiry = self._inquiry_by_key.get(start.key)
+            if inquiry is not None:
+                self._report(inquiry, start, "recorded")
+
     def _confirm_targets(self, done: Callable[[bool], None]) -> None:
         assert self.targets is not None
         self.targets.confirm(done)
 
-    def _look_up(self, inquiry: OriginInquiry) -> None:
-        inquiry.is_closed = True
-        self._stream_store.find(
-            inquiry.key,
-            lambda found: self._report(inquiry, found, "recorded" if found else "unknown"),
-        )
-
     def _report(self, inquiry: OriginInquiry, start: StreamStart | None, origin: str) -> None:
         """Report the result of an inquiry to those who wait for it."""
         inquiry.is_closed = True
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -140,7 +140,7 @@
         """Handle a message from another router."""
         if isinstance(message, StreamStarts):
             self._origins.record_reported(message.starts, now())
-            self._record([s for s in message.starts if self._recorder(s) == self._own_name])
+            self._record([s for s in message.starts if self._recorder(s.key) == self._own_name])
         elif isinstance(message, OriginRequest):
             self._reply(message)
         elif isinstance(message, OriginReply):
@@ -197,8 +197,8 @@
     def _own_name(self) -> str:
         return self._context.view.own_info.name
 
-    def _recorder(self, start: StreamStart) -> str:
-        return self._recorders[start.key[0] % len(self._recorders)]
+    def _recorder(self, key: bytes) -> str:
+        return self._recorders[key[0] % len(self._recorders)]
 
     def _record(self, starts: list[StreamStart]) -> None:
         if starts:
@@ -209,7 +209,7 @@
         starts_by_router: dict[str, list[StreamStart]] = defaultdict(list)
         for start in starts:
             holders = self._others(self._ring, start.key, _HOLDER_COUNT)
-            for name in {*holders, self._recorder(start)}:
+            for name in {*holders, self._recorder(start.key)}:
                 starts_by_router[name].append(start)
         self._record(starts_by_router.pop(self._own_name, []))
         self._send_starts(starts_by_router)
@@ -225,7 +225,12 @@
     def asked_routers(self, key: bytes) -> list[str]:
         """See :class:`OriginPeers`."""
         self._refresh_ring()
-        return self._others(self._ring, key, _ASKED_COUNT)
+        others = self._others(self._ring, key, _ASKED_COUNT)
+        recorder = self._recorder(key)
+        if recorder in (self._own_name, *others):
+            return others
+        # The recorder knows streams whose row it has not written yet.
+        return [*others[: _ASKED_COUNT - 1], recorder]
 
     def active_count(self) -> int:
         """See :class:`OriginPeers`."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -7,19 +7,23 @@
 
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
+from dataclasses import dataclass
 
 import msgspec
 from parsleyrudder import (
     STREAM_KEY_BYTES,
+    FeedGapError,
     FeedPage,
     FeedService,
+    Row,
     StreamStart,
     TableError,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
+from .coalesced_read import CoalescedRead
 from .context import now
 
 __all__ = ["StreamStore"]
@@ -32,8 +36,10 @@
 _MAX_STARTS_PER_ROW = 6000
 # Limit of what is kept for later while the store can't be written to.
 _MAX_PENDING = 20_000
-# A record that is read too early would miss a stream for this time.
-_REREAD_AFTER_S = 2.0
+# Shortest time between two reads.
+_READ_INTERVAL_S = 0.2
+# Age of the last read up to which the changes since then are less than the whole table.
+_MAX_CHANGES_AGE_S = 20.0
 _REMOVED_PER_CALL = 100
 
 
@@ -46,7 +52,10 @@
     keys_by_version_by_pool: dict[str, dict[str, bytes]]
 
 
-FindCallback = Callable[[StreamStart | None], None]
+@dataclass(slots=True, frozen=True)
+class _KnownRow:
+    revision: int
+    row: _StreamRow
 
 
 class StreamStore:
@@ -54,6 +63,7 @@
 
     :param name: name of this router.
     :param table: table of the store for the rows.
+    :ivar reads: reads of the rows of all recorders.
     """
 
     def __init__(self, feed: FeedService, timers: Timers, name: str, table: str) -> None:
@@ -64,10 +74,9 @@
         self._pending: list[StreamStart] = []
         self._is_writing = False
         self._row_number = 0
-        self._rows: list[_StreamRow] = []
-        self._read_at = float("-inf")
-        self._is_reading = False
-        self._waiting: list[tuple[bytes, FindCallback]] = []
+        self._row_by_key: dict[str, _KnownRow] = {}
+        self._revision: int | None = None
+        self.reads = CoalescedRead(timers, self._read, _READ_INTERVAL_S)
 
     def add(self, starts: Iterable[StreamStart]) -> None:
         """Record streams that have begun."""
@@ -75,21 +84,16 @@
         del self._pending[:-_MAX_PENDING]
         self._write()
 
-    def find(self, key: bytes, done: FindCallback) -> None:
-        """Find a stream that any recorder has written.
-
-        :param done: called once, with None if the stream is not recorded or the store can't be
-            read.
-        """
-        start = self._search(key)
-        if start is not None or now() - self._read_at < _REREAD_AFTER_S:
-            done(start)
-            return
-        self._waiting.append((key, done))
-        if not self._is_reading:
-            self._is_reading = True
-            sent_at = now()
-            self._feed.read(self._table, lambda page: self._on_read(page, sent_at))
+    def find(self, keys: Collection[bytes]) -> list[StreamStart]:
+        """Return those of the streams that any recorder had written at the last read."""
+        wanted = set(keys)
+        return [
+            StreamStart(key, pool, version)
+            for known in self._row_by_key.values()
+            for pool, keys_by_version in known.row.keys_by_version_by_pool.items()
+            for version, joined in keys_by_version.items()
+            for key in wanted.intersection(_split(joined))
+        ]
 
     def clear(self) -> None:
         """Remove the rows of all recorders, which no caller needs any more."""
@@ -133,24 +137,54 @@
         self._row_number = max(self._row_number + 1, by_clock)
         return f"{self._name}/{self._row_number % _ROWS_PER_RECORDER:03d}"
 
-    def _on_read(self, page: FeedPage | TableError, sent_at: float) -> None:
-        self._is_reading = False
-        waiting, self._waiting = self._waiting, []
+    def _read(self, done: Callable[[bool], None]) -> None:
+        """Read the rows, or what has changed since the last read."""
+        after = self._revision
+        if after is None or now() - self.reads.read_at >= _MAX_CHANGES_AGE_S:
+            self._read_all(done)
+            return
+
+        def on_changes(page: FeedPage | TableError) -> None:
+            if isinstance(page, FeedGapError):
+                self._read_all(done)
+            else:
+                self._on_page(page, False, done)
+
+        self._feed.changes(self._table, after, 0.0, on_changes)
+
+    def _read_all(self, done: Callable[[bool], None]) -> None:
+        self._feed.read(self._table, lambda page: self._on_page(page, True, done))
+
+    def _on_page(
+        self, page: FeedPage | TableError, is_whole: bool, done: Callable[[bool], None]
+    ) -> None:
         if isinstance(page, TableError):
             log_event(_LOGGER, "streams_not_read", logging.WARNING, reason=page)
-        else:
-            self._read_at = sent_at
-            self._rows = _decode_rows(page)
-        for key, done in waiting:
-            done(self._search(key))
-
-    def _search(self, key: bytes) -> StreamStart | None:
-        for row in self._rows:
-            for pool, keys_by_version in row.keys_by_version_by_pool.items():
-                for version, keys in keys_by_version.items():
-                    if _contains(keys, key):
-                        return StreamStart(key, pool, version)
-        return None
+            done(False)
+            return
+        kept_after = page.revision if is_whole else -1
+        self._row_by_key = {
+            key: known
+            for key, known in self._row_by_key.items()
+            if known.revision > max(kept_after, page.removed.get(key, -1))
+        }
+        for row in page.rows:
+            self._apply(row)
+        # Responses may arrive in another order than that of the reads.
+        self._revision = max(self._revision or 0, page.revision)
+        done(True)
+
+    def _apply(self, row: Row) -> None:
+        known = self._row_by_key.get(row.key)
+        if known is not None and known.revision >= row.revision:
+            return
+        try:
+            decoded = msgspec.msgpack.decode(row.value, type=_StreamRow)
+        except msgspec.MsgspecError as error:
+            text = f"row {row.key!r}: {error}"
+            log_event(_LOGGER, "streams_row_ignored", logging.WARNING, reason=text)
+            return
+        self._row_by_key[row.key] = _KnownRow(row.revision, decoded)
 
 
 def _encode(starts: Iterable[StreamStart]) -> bytes:
@@ -161,24 +195,10 @@
     return msgspec.msgpack.encode(_StreamRow(keys_by_version_by_pool))
 
 
-def _decode_rows(page: FeedPage) -> list[_StreamRow]:
-    rows = []
-    for row in page.rows:
-        try:
-            rows.append(msgspec.msgpack.decode(row.value, type=_StreamRow))
-        except msgspec.MsgspecError as error:
-            text = f"row {row.key!r}: {error}"
-            log_event(_LOGGER, "streams_row_ignored", logging.WARNING, reason=text)
-    return rows
-
-
-def _contains(keys: bytes, key: bytes) -> bool:
-    """Whether a key is among joined keys.
+def _split(joined: bytes) -> Iterator[bytes]:
+    """Return joined keys one by one.
 
-    >>> _contains(b"12345678abcdefgh", b"abcdefgh"), _contains(b"12345678abcdefgh", b"5678abcd")
-    (True, False)
+    >>> list(_split(b"12345678abcdefgh"))
+    [b'12345678', b'abcdefgh']
     """
-    at = keys.find(key) if len(key) == STREAM_KEY_BYTES else -1
-    while at % STREAM_KEY_BYTES and at >= 0:
-        at = keys.find(key, at + 1)
-    return at >= 0
+    return (joined[at : at + STREAM_KEY_BYTES] for at in range(0, len(joined), STREAM_KEY_BYTES))
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
@@ -1,6 +1,6 @@
 """A table of the store in memory, whose calls can be made to fail."""
 
-from parsleyrudder import FeedPage, Row, TableError
+from parsleyrudder import FeedGapError, FeedPage, Row, TableError
 
 
 class Feed:
@@ -13,6 +13,8 @@
         self.revision = 1
         self.puts = 0
         self.reads = 0
+        self.rows_returned = 0
+        self.has_gap = False
 
     def _fails(self):
         self.failures -= 1
@@ -23,6 +25,7 @@
         if self._fails():
             done(TableError("away", "retry"))
         else:
+            self.rows_returned += len(self.rows)
             done(FeedPage(list(self.rows.values()), {}, self.revision, 0.0))
 
     def changes(self, table, after, wait_s, done):
@@ -30,7 +33,11 @@
         if self._fails():
             done(TableError("away", "retry"))
             return
+        if self.has_gap:
+            done(FeedGapError("gap", "read the whole table"))
+            return
         rows = [row for row in self.rows.values() if row.revision > after]
+        self.rows_returned += len(rows)
         removed = {key: at for key, at in self.removed.items() if at > after}
         done(FeedPage(rows, removed, self.revision, 0.0))
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from parsleyrudder import RouterInfo, Target
+from parsleyrudder import RouterInfo, StreamStart, Target, stream_key
 from parsleyrudder.messages import encode_message
 from parsleyrudder_daemon.metrics import Metrics
 from parsleyrudder_daemon.relay import (
@@ -367,6 +367,81 @@
     assert [network.find(name, stream) for stream in streams] == ["v2"] * 20
 
 
+def restart_all_mixed(monkeypatch):
+    """Return routers that have all been killed and started again, and streams that had begun."""
+    network = Network(monkeypatch, 7, MIXED)
+    run_until_stored(network)
+    version_by_stream = {f"s{number}": MIXED[number % 2] for number in range(6)}
+    for stream, version in version_by_stream.items():
+        network["r0"].record_began(stream, "p", version)
+    run_until_stored(network)
+    network.restart_all()
+    for name in network.names:
+        network[name]
+    return network, version_by_stream
+
+
+def test_a_stream_that_is_recorded_after_a_read_is_found(monkeypatch):
+    """A write was performed late; then every stream was unknown for 2 s after a read."""
+    network, version_by_stream = restart_all_mixed(monkeypatch)
+    rows, network.stream_feed.rows = network.stream_feed.rows, {}
+    assert network.find("r1", "s0") is None
+    for key, row in rows.items():
+        network.stream_feed.put("streams", key, row.value, lambda result: None)
+    network.advance(0.1)
+    assert {s: network.find("r1", s) for s in version_by_stream} == version_by_stream
+
+
+@pytest.mark.parametrize("failures", [1, 2])
+def test_a_read_that_fails_is_repeated_while_the_caller_waits(monkeypatch, failures):
+    network, version_by_stream = restart_all_mixed(monkeypatch)
+    network.stream_feed.failures = failures
+    assert {s: network.find("r1", s) for s in version_by_stream} == version_by_stream
+
+
+def test_routers_that_do_not_reply_at_once_are_asked_again(monkeypatch):
+    """The first messages after a cut are lost until the connections are there again."""
+    network = Network(monkeypatch, 4, MIXED)
+    run_until_stored(network)
+    network.stream_feed.failures = 10**6
+    network["r0"].record_began("s", "p", "v1")
+    network.cut_off = {"r3"}
+    network._after(0.5, network.cut_off.clear)
+    assert network.find("r3", "s") == "v1"
+
+
+@pytest.mark.parametrize("router_count", [2, 30])
+def test_the_router_that_is_to_record_a_stream_is_asked_for_it(monkeypatch, router_count):
+    """The others that knew it are gone, and its row has not been written yet."""
+    network = Network(monkeypatch, router_count, MIXED)
+    for name in network.names:
+        network[name]
+    network.stream_feed.failures = 10**6
+    [recorder] = network["r0"]._recorders
+    other = next(name for name in network.names if name != recorder)
+    network[recorder]._origins.record_reported([StreamStart(stream_key("s"), "p", "v1")], 0.0)
+    assert network.find(other, "s") == "v1"
+
+
+def test_what_is_certainly_unknown_is_reported_at_once(monkeypatch):
+    network, _ = restart_all_mixed(monkeypatch)
+    found: list[Any] = []
+    network["r1"].find("unknown", "p", found.append)
+    assert found == [None]
+
+
+def test_an_inquiry_ends_although_nothing_answers(monkeypatch):
+    """The caller has to have its answer before it gives up."""
+    network, _ = restart_all_mixed(monkeypatch)
+    network.cut_off_from_store = network.cut_off = {"r1"}
+    found: list[Any] = []
+    network["r1"].find("s0", "p", found.append)
+    network.advance(0.9)
+    assert found == []
+    network.advance(0.15)
+    assert found == [None]
+
+
 class RandomHistory:
     """A random course of streams, versions and faults of routers and of the store."""
 
