Record streams while an earlier write has no answer

What callers saw: when all routers were killed while the store left writes unanswered, streams that had begun up to seconds before could not be resumed (origin_unknown).

Cause: a recorder waited for the answer of each write, up to the response timeout (0.5 s, four times that after failures). What began meanwhile was not written, and lost with the routers. Most of the unanswered writes had been performed.

Now a recorder writes every 0.25 s, each time to a row of its own, whether or not earlier writes have been answered. The rate stays four writes a second; at most 16 are without an answer, which covers the longest timeout. A write that fails is written anew with what is pending then, to another row, so a write that is performed late does no harm.

Evidence: test_a_write_without_an_answer_delays_no_other; the code before sent one write for eight streams in 2 s.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -41,6 +41,8 @@
 # Age of the last read up to which the changes since then are less than the whole table.
 _MAX_CHANGES_AGE_S = 20.0
 _REMOVED_PER_CALL = 100
+# Writes in the longest time for which the response to one is waited for.
+_MAX_WRITES_IN_FLIGHT = 16
 
 
 class _StreamRow(msgspec.Struct, array_like=True, frozen=True):
@@ -72,7 +74,8 @@
         self._name = name
         self._table = table
         self._pending: list[StreamStart] = []
-        self._is_writing = False
+        self._is_paused = False
+        self._writes_in_flight = 0
         self._row_number = 0
         self._row_by_key: dict[str, _KnownRow] = {}
         self._revision: int | None = None
@@ -107,28 +110,33 @@
         self._feed.read(self._table, on_rows)
 
     def _write(self) -> None:
-        if self._is_writing or not self._pending:
+        """Write what is pending to a row of its own, beside the writes that have no answer yet."""
+        if self._is_paused or not self._pending or self._writes_in_flight >= _MAX_WRITES_IN_FLIGHT:
             return
-        self._is_writing = True
+        self._is_paused = True
+        self._timers.after(_WRITE_INTERVAL_S, self._on_interval)
+        self._writes_in_flight += 1
         written = self._pending[:_MAX_STARTS_PER_ROW]
         del self._pending[: len(written)]
-
-        def done(result: bool | TableError) -> None:
-            if isinstance(result, TableError):
-                log_event(
-                    _LOGGER,
-                    "streams_not_stored",
-                    logging.WARNING,
-                    count=len(written),
-                    reason=result,
-                )
-                self._pending[:0] = written
-            self._timers.after(_WRITE_INTERVAL_S, self._on_interval)
-
-        self._feed.put(self._table, self._row_key(), _encode(written), done)
+        self._feed.put(
+            self._table,
+            self._row_key(),
+            _encode(written),
+            lambda result: self._on_written(written, result),
+        )
+
+    def _on_written(self, written: list[StreamStart], result: bool | TableError) -> None:
+        self._writes_in_flight -= 1
+        if isinstance(result, TableError):
+            log_event(
+                _LOGGER, "streams_not_stored", logging.WARNING, count=len(written), reason=result
+            )
+            self._pending[:0] = written
+            del self._pending[:-_MAX_PENDING]
+        self._write()
 
     def _on_interval(self) -> None:
-        self._is_writing = False
+        self._is_paused = False
         self._write()
 
     def _row_key(self) -> str:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_stream_store.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from parsleyrudder import Row, StreamStart, stream_key
+from parsleyrudder import Row, StreamStart, TableError, stream_key
 from parsleyrudder_daemon.relay import coalesced_read, stream_store
 from parsleyrudder_daemon.relay.stream_store import StreamStore
 
@@ -137,6 +137,40 @@
     assert len(store.find([make_start(n).key for n in range(2)])) == 2
 
 
+@pytest.mark.parametrize("is_performed", [True, False], ids=["answer-lost", "not-performed"])
+def test_a_write_without_an_answer_delays_no_other(clock, is_performed):
+    """All streams that began until the timeout of the write were lost with the routers."""
+    feed = Feed()
+    unanswered: list[Any] = []
+
+    def put(table, key, value, done):
+        if is_performed or unanswered:
+            feed.put(table, key, value, lambda result: None)
+        unanswered.append(done)
+
+    slow: Any = SimpleNamespace(put=put)
+    recorder = make_store(slow, clock)
+    for number in range(8):
+        recorder.add([make_start(number)])
+        clock.advance(0.25)
+    found = [find(feed, clock, make_start(number)) is not None for number in range(8)]
+    assert found == [is_performed] + [True] * 7
+    assert len(unanswered) == 8
+    unanswered[0](TableError("no response", "retry"))
+    clock.advance(0.25)
+    assert find(feed, clock, make_start(0)) is not None
+
+
+def test_the_number_of_writes_without_an_answer_is_bounded(clock):
+    puts: list[Any] = []
+    silent: Any = SimpleNamespace(put=lambda table, key, value, done: puts.append((key, done)))
+    recorder = make_store(silent, clock)
+    for number in range(100):
+        recorder.add([make_start(number)])
+        clock.advance(0.25)
+    assert len(puts) == len({key for key, _ in puts}) <= 16
+
+
 @pytest.mark.parametrize("damage", ["away", "row"])
 def test_a_stream_in_an_unreadable_record_is_unknown(clock, damage):
     feed = Feed()
