Connect again to a router within a second of its return

What callers saw: for several seconds after a cut, or after a router had been started again behind one, routers got no replies about streams, and refused resumptions (origin_unknown).

Cause: a connection attempt to a router behind a cut ends after 1.5 s, and the next one followed after up to 1.5 s, so that a connection could come back 3 s after the cut. Now 0.5 s and 0.4 s, less than the second for which an inquiry waits and asks again. What this costs is one connection attempt per silent router and about 0.9 s instead of 3 s.

Evidence: test_a_router_that_is_reachable_again_is_connected_to_within_a_ second failed with 3000 ms.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -24,6 +24,10 @@
 _SEND_QUEUE_MESSAGES = 100
 _HEARTBEAT_MS = 500
 _TIMEOUT_MS = 1500
+# A router that is reachable again is connected to within the sum of both, so that questions that
+# wait for its reply for a second still get it.
+_CONNECT_TIMEOUT_MS = 500
+_MAX_RECONNECT_INTERVAL_MS = 400
 _MAX_MESSAGE_BYTES = 4 << 20
 
 
@@ -167,8 +171,8 @@
         # Without heartbeats, a connection to a peer behind a network partition hangs.
         dealer.heartbeat_ivl = _HEARTBEAT_MS
         dealer.heartbeat_timeout = _TIMEOUT_MS
-        dealer.connect_timeout = _TIMEOUT_MS
-        dealer.reconnect_ivl_max = _TIMEOUT_MS
+        dealer.connect_timeout = _CONNECT_TIMEOUT_MS
+        dealer.reconnect_ivl_max = _MAX_RECONNECT_INTERVAL_MS
         dealer.sndhwm = _SEND_QUEUE_MESSAGES
         dealer.linger = 0
         dealer.connect(f"tcp://{address}")
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+import zmq
 from parsleyrudder import ConfigRequest
 from parsleyrudder_adapters.peers import PeerLink
 
@@ -25,6 +26,20 @@
         pass
 
 
+def test_a_router_that_is_reachable_again_is_connected_to_within_a_second(servers):
+    """Its replies came too late for the callers that resumed their streams after a cut."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        own = f"127.0.0.1:{listener.getsockname()[1]}"
+    link = PeerLink(own, None, lambda message: None)
+    address = f"127.0.0.1:{servers[0].getsockname()[1]}"
+    link.send(address, ConfigRequest("r", 1))
+    [dealer] = link._dealer_by_address.values()
+    options = (zmq.CONNECT_TIMEOUT, zmq.RECONNECT_IVL_MAX)
+    longest_ms = sum(int(dealer.getsockopt(option)) for option in options)
+    link.close()
+    assert 0 < longest_ms < 1000
+
+
 def test_connections_to_other_addresses_are_closed(servers):
     with socket.create_server(("127.0.0.1", 0)) as listener:
         own = f"127.0.0.1:{listener.getsockname()[1]}"
