Report a confirmation of the targets only if the copy was confirmed

A read that was dropped because the copy was newer, or changes that news had overtaken, counted as a confirmation, but did not move the time at which the copy was known to be up to date. The inquiry that waited for it then read nothing more, and ended as unknown after its second. Found by reading; the case needs two answers that overtake each other.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -137,34 +137,42 @@
     def confirm(self, done: Callable[[bool], None]) -> None:
         """Bring the copy up to date now, beside the call that may wait for the next change.
 
-        :param done: called once, with whether the store has answered.
+        :param done: called once, with whether the copy is up to date as of this call.
         """
         sent_at = now()
         after = self._copy.revision
 
         def on_read(page: FeedPage | TableError) -> None:
-            if isinstance(page, FeedPage):
-                self._apply_read(page, sent_at)
-                self._record_answer()
-            done(isinstance(page, FeedPage))
+            done(isinstance(page, FeedPage) and self._confirm_by_read(page, sent_at))
 
         def on_changes(page: FeedPage | TableError) -> None:
             if isinstance(page, FeedGapError):
                 self._feed.read(self._table, on_read)
-                return
-            if isinstance(page, FeedPage) and self._copy.revision is not None:
-                self._apply_changes(page, sent_at)
-                self._record_answer()
-                if self._peers.is_reader() and after is not None and not page.is_empty:
-                    # The next call for changes does not return them again.
-                    self._publish(page, after)
-            done(isinstance(page, FeedPage))
+            else:
+                assert after is not None
+                done(isinstance(page, FeedPage) and self._confirm_by(page, after, sent_at))
 
         if after is None or self._is_store_down:
             self._feed.read(self._table, on_read)
         else:
             self._feed.changes(self._table, after, 0.0, on_changes)
 
+    def _confirm_by_read(self, page: FeedPage, sent_at: float) -> bool:
+        is_applied = self._apply_read(page, sent_at)
+        self._record_answer()
+        return is_applied
+
+    def _confirm_by(self, page: FeedPage, after: int, sent_at: float) -> bool:
+        revision = self._copy.revision
+        if revision is None:
+            return False
+        self._apply_changes(page, sent_at)
+        self._record_answer()
+        if self._peers.is_reader() and not page.is_empty:
+            # The next call for changes does not return these again.
+            self._publish(page, after)
+        return page.revision >= revision
+
     def on_news(self, news: TableNews) -> None:
         """Handle changes that another router has read."""
         if self._is_store_down or self._copy.revision is None:
@@ -207,16 +215,17 @@
         self._apply_read(page, sent_at)
         self._on_success(0.0)
 
-    def _apply_read(self, page: FeedPage, sent_at: float) -> None:
-        """Apply a full read, unless one that was sent later has been applied."""
+    def _apply_read(self, page: FeedPage, sent_at: float) -> bool:
+        """Apply a full read unless the copy is newer; return whether it was applied."""
         is_older = self._copy.revision is not None and page.revision < self._copy.revision
         if sent_at < self._read_sent_at or (is_older and not self._is_store_down):
-            return
+            return False
         self._read_sent_at = sent_at
         if self._is_store_down:
             log_event(_LOGGER, "store_back", table=self._table, revision=page.revision)
         self._copy.apply_read(page, sent_at)
         self._on_read(page, self._is_store_down)
+        return True
 
     def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
         new = self._copy.apply_changes(page, sent_at)
