--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -452,8 +452,10 @@
 
     def begin(self):
         stream = f"s{len(self.version_by_stream)}"
-        version = self.version_by_stream[stream] = self.rng.choice(self.network.versions)
-        self.network[self.live()].record_began(stream, "p", version)
+        task = self.network[self.live()]
+        known = sorted(target.version for target in task._context.targets.by_id.values())
+        version = self.version_by_stream[stream] = self.rng.choice(known)
+        task.record_began(stream, "p", version)
 
     def live(self):
         names = [name for name in self.network.names if name not in self.network.dead]
@@ -464,13 +466,16 @@
         self.network.refresh()
 
     def release(self):
-        """Replace the versions, or add or remove one; each router reads it from the store."""
+        """Replace the versions, or add or remove one; most routers read it from the store."""
         number = len(self.version_by_stream) + self.rng.randrange(1000)
         kept = self.network.versions[-self.rng.randrange(2) :]
         self.network.versions = self.rng.choice([kept, (*kept, f"v{number}"), (f"v{number}",)])
-        for task in self.network.task_by_name.values():
-            task._context.targets.by_id = self.network.targets()
-            task.refresh_versions()
+        # A version that no recorder has seen before it has gone again is not covered.
+        recorders = {task._recorders[0] for task in self.network.task_by_name.values()}
+        for name in list(self.network.task_by_name):
+            if name in recorders or self.rng.random() < 0.7:
+                self.network.learn_versions(name)
+        self.network.refresh()
 
     def kill(self):
         self.network.restart_all()
@@ -486,6 +491,19 @@
         count = min(self.rng.randrange(3), len(self.network.names) - 1)
         self.network.dead = set(self.rng.sample(self.network.names, count))
 
+    def cut(self):
+        """Cut some routers off from the others, or from the store, or heal all cuts."""
+        network = self.network
+        count = self.rng.randrange(len(network.names) + 1)
+        cut_off = set(self.rng.sample(network.names, count))
+        network.cut_off = self.rng.choice([set(), cut_off])
+        network.cut_off_from_store = self.rng.choice([set(), cut_off, set(network.names)])
+        network.known_outage = self.rng.choice([set(), network.cut_off_from_store])
+        network.seen_by_name = {
+            name: {n for n in network.names if n not in network.dead | network.cut_off} | {name}
+            for name in self.rng.choice([[], network.names])
+        }
+
     def fail_store(self):
         self.network.stream_feed.failures = self.rng.randrange(4)
 
@@ -499,7 +517,8 @@
     run_until_stored(network)
     known = 0
     for _ in range(120):
-        rare = rng.choice([history.release, history.kill, history.restart, history.part])
+        faults = [history.kill, history.restart, history.part, history.cut]
+        rare = rng.choice([history.release, *faults])
         rng.choice([history.begin, history.begin, history.wait, rare, history.fail_store])()
         if history.version_by_stream:
             stream = rng.choice(list(history.version_by_stream))
