Infer from the replies of a whole fleet after half a second without the store

While the store answers slowly, or has stopped answering a moment ago, an inquiry in a fleet of one version took its whole second, although all routers had replied and none was silent. The stream then has little time left to begin before its caller gives up. Now such a store counts as away after 0.5 s. test_a_stream_goes_on_in_a_fleet_of_one_version[silent] failed before (1.0 s).

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
@@ -19,6 +19,8 @@
 # A caller gives up a silent stream after about 2 s, and the rest of the stream has to find a target
 # and begin within that time.
 _MAX_INQUIRY_S = 1.0
+# Time after which a store without an answer counts as away; leaves the stream time to begin.
+_STORE_WAIT_S = 0.5
 _CHECK_INTERVAL_S = 0.1
 # Time after which a router that has not replied is asked again.
 _ASK_INTERVAL_S = 0.3
@@ -151,7 +153,7 @@
         inquiry.versions |= self._versions.versions(inquiry.pool, at)
         if inquiry.start is not None:
             self._report(inquiry, inquiry.start, "told")
-        elif inquiry.may_infer(self._evidence(is_over)):
+        elif inquiry.may_infer(self._evidence(at - inquiry.began_at)):
             self._report(inquiry, inquiry.inferred_start(), "inferred")
         elif is_over or self._is_hopeless(inquiry):
             self._look_up(inquiry)
@@ -175,9 +177,9 @@
     def _is_inferable(self, inquiry: OriginInquiry) -> bool:
         return len(inquiry.versions) <= 1 and self._versions.is_complete(now())
 
-    def _evidence(self, is_over: bool) -> OriginEvidence:
+    def _evidence(self, waited_s: float) -> OriginEvidence:
         assert self.targets is not None
-        is_store_away = self.targets.is_store_down or is_over
+        is_store_away = self.targets.is_store_down or waited_s >= _STORE_WAIT_S
         return OriginEvidence(
             self._versions.is_complete(now()),
             self.targets.confirmed_at,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -344,16 +344,22 @@
     assert network.find("r1", "s") in (None, "v2")
 
 
-@pytest.mark.parametrize("reaches_store", [False, True], ids=["no-store", "store"])
-def test_a_stream_goes_on_in_a_fleet_of_one_version(monkeypatch, reaches_store):
+@pytest.mark.parametrize(
+    ("store", "longest_s"), [("there", 0.0), ("known-away", 0.0), ("silent", 0.65)]
+)
+def test_a_stream_goes_on_in_a_fleet_of_one_version(monkeypatch, store, longest_s):
     """Guards against refusals of all resumed streams while the store is away."""
     network = make_fleet(monkeypatch)
     network["r0"].record_began("s", "p", "v1")
     network.restart("r0")
     network["r0"]
-    if not reaches_store:
-        network.cut_off_from_store = network.known_outage = set(network.names)
+    if store != "there":
+        network.cut_off_from_store = set(network.names)
+    if store == "known-away":
+        network.known_outage = set(network.names)
+    began_at = network.now
     assert network.find("r1", "s") == "v1"
+    assert network.now - began_at <= longest_s
 
 
 def test_a_version_that_came_and_went_while_a_router_was_out_of_step_is_known(monkeypatch):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from parsleyrudder import FeedPage, Row, TableError
+from parsleyrudder import FeedPage, Row, TableError, TableNews
 from parsleyrudder_daemon.relay import table_watch
 from parsleyrudder_daemon.relay.table_watch import TableWatch, WatchRules
 
@@ -223,29 +223,62 @@
     assert not watch.is_store_down
 
 
+class Calls:
+    """A store that answers when a test says so, and the watch of one router."""
+
+    def __init__(self, monkeypatch):
+        self.reads: list[Any] = []
+        self.changes_calls: list[Any] = []
+        self.applied: list[int] = []
+        self.confirmed: list[bool] = []
+        now_s = iter(range(100, 200))
+        monkeypatch.setattr(table_watch, "now", lambda: float(next(now_s)))
+        feed: Any = SimpleNamespace(
+            read=lambda table, done: self.reads.append(done),
+            changes=lambda table, after, wait_s, done: self.changes_calls.append(done),
+        )
+        timers: Any = SimpleNamespace(after=lambda delay_s, callback: SimpleNamespace())
+        peers: Any = SimpleNamespace(is_reader=lambda: False)
+        self.watch = TableWatch(
+            feed,
+            timers,
+            RULES,
+            peers,
+            "t",
+            lambda page, away: self.applied.append(page.revision),
+            lambda page: None,
+        )
+        self.watch.start()
+
+    def confirm(self):
+        self.watch.confirm(self.confirmed.append)
+
+
+def page_of(revision):
+    return FeedPage([], {}, revision, float(revision))
+
+
 def test_a_read_that_arrives_late_reverts_nothing(monkeypatch):
     """Two reads were under way at the end of an outage, and the older one came last."""
-    reads: list[Any] = []
-    applied: list[int] = []
-    now_s = iter(range(100, 200))
-    monkeypatch.setattr(table_watch, "now", lambda: float(next(now_s)))
-    feed: Any = SimpleNamespace(read=lambda table, done: reads.append(done))
-    timers: Any = SimpleNamespace(after=lambda delay_s, callback: SimpleNamespace())
-    peers: Any = SimpleNamespace(is_reader=lambda: True)
-    watch = TableWatch(
-        feed,
-        timers,
-        RULES,
-        peers,
-        "t",
-        lambda page, away: applied.append(page.revision),
-        lambda page: None,
-    )
-    watch.start()
-    watch.confirm(lambda has_answered: None)
-    reads[1](FeedPage([], {}, 7, 1.0))
-    reads[0](FeedPage([], {}, 6, 1.1))
-    assert applied == [7]
+    calls = Calls(monkeypatch)
+    calls.confirm()
+    calls.reads[1](page_of(7))
+    calls.reads[0](page_of(6))
+    assert calls.applied == [7]
+    assert calls.confirmed == [True]
+
+
+def test_a_confirmation_that_the_copy_did_not_get_is_not_reported(monkeypatch):
+    """An inquiry waited for it in vain."""
+    calls = Calls(monkeypatch)
+    calls.reads[0](page_of(5))
+    calls.confirm()
+    calls.watch.on_news(TableNews("t", 5, 6, 6.0, True, (), {}))
+    calls.changes_calls[0](page_of(5))
+    assert calls.confirmed == [False]
+    calls.confirm()
+    calls.changes_calls[1](page_of(6))
+    assert calls.confirmed == [False, True]
 
 
 @pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0, 15.0])
