Let another router record streams while the recorder lacks the store

What callers saw: when the store was away for some routers and all were killed during that, all streams that had begun since its start got "origin_unknown", although most routers had reached the store.

Cause: the recorder of a stream follows from the names of the active routers. One that others reach, but that does not reach the store, stays the recorder and keeps what it is told in memory.

Now a recorder whose copy of the targets shows that the store is away sends what it could not write, and from then on what it is told, to the router that would take its place if it were gone, which writes it. A deputy passes nothing on. The recorder still writes everything when the store is back, so that a lost message costs nothing then.

Evidence: test_streams_are_recorded_while_their_recorder_does_not_reach_ the_store (2 cases) found None for each stream with the hand-over taken out.

Not covered: writes that fail while the targets can be read.

--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -22,6 +22,7 @@
     SentParts,
     StreamStart,
     StreamStarts,
+    StreamsToRecord,
     SuspectCrashes,
     SuspectKind,
     TableNews,
@@ -53,6 +54,7 @@
     "SentParts",
     "StreamStart",
     "StreamStarts",
+    "StreamsToRecord",
     "SuspectCrashes",
     "SuspectKind",
     "TableNews",
@@ -282,6 +284,7 @@
     | LoadDigest
     | TableNews
     | StreamStarts
+    | StreamsToRecord
     | OriginRequest
     | OriginReply
 )
--- a/packages/parsleyrudder/parsleyrudder/relay_messages.py
+++ b/packages/parsleyrudder/parsleyrudder/relay_messages.py
@@ -17,6 +17,7 @@
     "SentParts",
     "StreamStart",
     "StreamStarts",
+    "StreamsToRecord",
     "SuspectCrashes",
     "SuspectKind",
     "TableNews",
@@ -220,6 +221,12 @@
     starts: tuple[StreamStart, ...]
 
 
+class StreamsToRecord(BaseMessage, frozen=True):
+    """Streams that the sender was to write to the store, which it does not reach."""
+
+    starts: tuple[StreamStart, ...]
+
+
 class OriginRequest(BaseMessage, frozen=True):
     """Question where a stream began.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -13,6 +13,7 @@
     StreamOrigins,
     StreamStart,
     StreamStarts,
+    StreamsToRecord,
     VersionHistory,
     rendezvous,
     stream_key,
@@ -72,11 +73,15 @@
             self,
             lambda start: self._origins.record_reported([start], now()),
         )
+        self._targets: TargetSource | None = None
+        # Router that writes the streams of this recorder while this one does not reach the store.
+        self._deputy: str | None = None
+        self._is_store_down = False
         self.link: PeerLink | None = None
 
     def watch_targets(self, targets: TargetSource) -> None:
         """Set this router's copy of the targets; called before the start."""
-        self._inquiries.targets = targets
+        self._targets = self._inquiries.targets = targets
 
     def start(self) -> None:
         """Read the versions from before this start, and start to follow versions and routers."""
@@ -91,6 +96,7 @@
         self._context.timers.after(_REFRESH_INTERVAL_S, self.refresh)
         self.refresh_versions()
         self._refresh_ring()
+        self._refresh_deputy()
         self._save_versions()
         self._origins.expire(now())
 
@@ -141,6 +147,8 @@
         if isinstance(message, StreamStarts):
             self._origins.record_reported(message.starts, now())
             self._record([s for s in message.starts if self._recorder(s.key) == self._own_name])
+        elif isinstance(message, StreamsToRecord):
+            self._stream_store.add(message.starts)
         elif isinstance(message, OriginRequest):
             self._reply(message)
         elif isinstance(message, OriginReply):
@@ -160,7 +168,9 @@
         fresh = {name for name, _ in incarnation_by_name.items() - known_before}
         old_ring, self._ring = self._ring, HashRing(names)
         recorder_count = 1 + len(names) // _ROUTERS_PER_RECORDER
-        self._recorders = rendezvous("stream recorders", names)[:recorder_count]
+        ranked = rendezvous("stream recorders", names)
+        self._recorders = ranked[:recorder_count]
+        self._deputy = next(iter(ranked[recorder_count:]), None)
         starts_by_holder: dict[str, list[StreamStart]] = defaultdict(list)
         for start in self._origins.own_starts_since(self._told_pools, at - _RETOLD_AGE_S):
             told = set(self._others(old_ring, start.key, _HOLDER_COUNT)) - fresh
@@ -203,6 +213,21 @@
     def _record(self, starts: list[StreamStart]) -> None:
         if starts:
             self._stream_store.add(starts)
+            if self._is_store_down:
+                self._send_to_deputy(starts)
+
+    def _refresh_deputy(self) -> None:
+        """Let another router write what this one can't, from the moment at which it is known."""
+        assert self._targets is not None
+        was_down, self._is_store_down = self._is_store_down, self._targets.is_store_down
+        if self._is_store_down and not was_down:
+            unwritten = self._stream_store.unwritten()
+            own = [start for start in unwritten if self._recorder(start.key) == self._own_name]
+            self._send_to_deputy(own)
+
+    def _send_to_deputy(self, starts: list[StreamStart]) -> None:
+        if starts and self._deputy is not None:
+            self._send(self._deputy, StreamsToRecord(tuple(starts)))
 
     def _tell(self, starts: Iterable[StreamStart]) -> None:
         """Tell the holders and the recorder of each stream."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -75,7 +75,7 @@
         self._table = table
         self._pending: list[StreamStart] = []
         self._is_paused = False
-        self._writes_in_flight = 0
+        self._writes_in_flight: list[list[StreamStart]] = []
         self._row_number = 0
         self._row_by_key: dict[str, _KnownRow] = {}
         self._revision: int | None = None
@@ -87,6 +87,11 @@
         del self._pending[:-_MAX_PENDING]
         self._write()
 
+    def unwritten(self) -> list[StreamStart]:
+        """Return the streams whose write has not been confirmed."""
+        in_flight = (start for written in self._writes_in_flight for start in written)
+        return [*in_flight, *self._pending]
+
     def find(self, keys: Collection[bytes]) -> list[StreamStart]:
         """Return those of the streams that any recorder had written at the last read."""
         wanted = set(keys)
@@ -111,13 +116,14 @@
 
     def _write(self) -> None:
         """Write what is pending to a row of its own, beside the writes that have no answer yet."""
-        if self._is_paused or not self._pending or self._writes_in_flight >= _MAX_WRITES_IN_FLIGHT:
+        is_full = len(self._writes_in_flight) >= _MAX_WRITES_IN_FLIGHT
+        if self._is_paused or not self._pending or is_full:
             return
         self._is_paused = True
         self._timers.after(_WRITE_INTERVAL_S, self._on_interval)
-        self._writes_in_flight += 1
         written = self._pending[:_MAX_STARTS_PER_ROW]
         del self._pending[: len(written)]
+        self._writes_in_flight.append(written)
         self._feed.put(
             self._table,
             self._row_key(),
@@ -126,7 +132,7 @@
         )
 
     def _on_written(self, written: list[StreamStart], result: bool | TableError) -> None:
-        self._writes_in_flight -= 1
+        self._writes_in_flight = [w for w in self._writes_in_flight if w is not written]
         if isinstance(result, TableError):
             log_event(
                 _LOGGER, "streams_not_stored", logging.WARNING, count=len(written), reason=result
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -429,6 +429,30 @@
     assert network.find(other, "s") == "v1"
 
 
+@pytest.mark.parametrize("is_known_at", ["before", "after"])
+def test_streams_are_recorded_while_their_recorder_does_not_reach_the_store(
+    monkeypatch, is_known_at
+):
+    """All streams of the fleet were lost in a restart of all routers during such an outage."""
+    network = Network(monkeypatch, 7, MIXED)
+    run_until_stored(network)
+    [recorder] = network["r0"]._recorders
+    beginner = next(name for name in network.names if name != recorder)
+    network.cut_off_from_store = {recorder}
+    if is_known_at == "before":
+        network.known_outage = {recorder}
+        network.refresh()
+    version_by_stream = {f"s{number}": MIXED[number % 2] for number in range(6)}
+    for stream, version in version_by_stream.items():
+        network[beginner].record_began(stream, "p", version)
+    network.known_outage = {recorder}
+    run_until_stored(network)
+    network.cut_off_from_store = network.known_outage = set()
+    network.restart_all()
+    assert {s: network.find("r1", s) for s in version_by_stream} == version_by_stream
+    assert network.stream_feed.puts <= 12
+
+
 def test_what_is_certainly_unknown_is_reported_at_once(monkeypatch):
     network, _ = restart_all_mixed(monkeypatch)
     found: list[Any] = []
