Ask anew for each caller that names no stream

Callers that resume a stream without its name shared one inquiry per pool since inquiries wait for reads. What had been read for the first of them was taken for the second as well, whose stream may have begun at a version that joined in between, so that it went on at another one.

Each of them now has an inquiry of its own; the reads are still shared, but only those that were sent after the caller came count for it. Callers that name the same stream still share one, as the stream began before the first of them came.

test_callers_that_name_no_stream_do_not_share_... found v1 for the second caller before.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -1,5 +1,6 @@
 """Exchange between routers of which software version began a stream; see :class:`StreamOrigins`."""
 
+import itertools
 import logging
 from collections import defaultdict
 from collections.abc import Iterable
@@ -57,6 +58,7 @@
         self._version_store = version_store
         self._stream_store = stream_store
         self._started_at = now()
+        self._unnamed_number = itertools.count()
         self._origins = StreamOrigins()
         self._versions = VersionHistory()
         self._ring = HashRing([context.view.own_info.name])
@@ -134,7 +136,7 @@
         :param pool: pool in which the stream would go on.
         :param callback: called once, with None if the version is unknown.
         """
-        key = stream_key(request) if request else _unnamed_key(pool)
+        key = stream_key(request) if request else self._unnamed_key()
         start = self._origins.find(key)
         if start is not None:
             self._context.metrics.count("streams_resumed", origin="local")
@@ -142,6 +144,13 @@
             return
         self._inquiries.begin(key, pool, callback)
 
+    def _unnamed_key(self) -> bytes:
+        """Return a key for one caller that names no stream; no stream and no other caller has it.
+
+        What was read for an earlier caller says nothing of the stream of a later one.
+        """
+        return stream_key(f"unnamed\0{next(self._unnamed_number)}")
+
     def on_message(self, message: Message) -> None:
         """Handle a message from another router."""
         if isinstance(message, StreamStarts):
@@ -280,8 +289,3 @@
         info = self._context.view.info(name)
         if info is not None and self.link is not None:
             self.link.send(info.peer_address, message)
-
-
-def _unnamed_key(pool: str) -> bytes:
-    """Return the key by which the versions of a pool are asked for; no stream has it."""
-    return stream_key(f"pool\0{pool}")
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_origin_task.py
@@ -27,7 +27,7 @@
 
 
 class TargetWatch:
-    """A router's watch of the targets, whose calls the store answers at once, or not at all."""
+    """A router's watch of the targets, whose calls the store answers, or not at all."""
 
     def __init__(self, network, name):
         self.network = network
@@ -42,9 +42,17 @@
         """Read the targets from the store."""
         if self.name in self.network.cut_off_from_store:
             return
-        self.confirmed_at = self.network.now
-        self.network.learn_versions(self.name)
-        done(True)
+        sent_at, targets = self.network.now, self.network.targets()
+
+        def on_answer():
+            self.confirmed_at = sent_at
+            self.network.set_targets(self.name, targets)
+            done(True)
+
+        if self.network.answer_delay_s:
+            self.network._after(self.network.answer_delay_s, on_answer)
+        else:
+            on_answer()
 
 
 class Network:
@@ -55,6 +63,7 @@
     :ivar seen_by_name: routers that one takes for active, if not all that are alive.
     :ivar cut_off_from_store: routers that get no answer of the store.
     :ivar known_outage: those of them that know it.
+    :ivar answer_delay_s: time after which the store answers a read of the targets.
     """
 
     def __init__(self, monkeypatch, router_count, versions):
@@ -66,6 +75,7 @@
         self.seen_by_name: dict[str, set[str]] = {}
         self.cut_off_from_store: set[str] = set()
         self.known_outage: set[str] = set()
+        self.answer_delay_s = 0.0
         self.task_by_name: dict[str, OriginTask] = {}
         self.timers: list[Any] = []
         self._timer_number = itertools.count()
@@ -94,7 +104,10 @@
 
     def learn_versions(self, name):
         """Let a router know the targets as they are in the store."""
-        self[name]._context.targets.by_id = self.targets()
+        self.set_targets(name, self.targets())
+
+    def set_targets(self, name, targets):
+        self[name]._context.targets.by_id = targets
         self[name].refresh_versions()
 
     def refresh(self):
@@ -362,6 +375,20 @@
     assert network.now - began_at <= longest_s
 
 
+def test_callers_that_name_no_stream_do_not_share_what_was_read_before_they_came(monkeypatch):
+    """A version joined after the first of them, and the stream of the second began there."""
+    network = make_fleet(monkeypatch)
+    network.answer_delay_s = 0.3
+    found: list[Any] = []
+    network["r1"].find(None, "p", found.append)
+    network.advance(0.1)
+    network.versions = MIXED
+    network.advance(0.1)
+    network["r1"].find(None, "p", found.append)
+    network.advance(1.0)
+    assert [start and start.version for start in found] == ["v1", None]
+
+
 def test_a_version_that_came_and_went_while_a_router_was_out_of_step_is_known(monkeypatch):
     """No target of it is left in the store, but its row among the versions is."""
     network, [name], streams = join_while_out_of_step(monkeypatch, 1, is_noticed=False)
