--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -1,9 +1,10 @@
 """Watches of one table by several routers without a network: calls and detected changes."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
-from parsleyrudder import FeedPage, Row, TableError
+from parsleyrudder import FeedPage, Row, TableError, TableNews
 from parsleyrudder_daemon.relay import table_watch
 from parsleyrudder_daemon.relay.table_watch import TableWatch, WatchRules
 
@@ -182,6 +183,104 @@
     assert fleet.clock.now - min(fleet.confirmed_at.values()) < RULES.max_age_s + 2 * LATENCY_S
 
 
+@pytest.mark.parametrize("name", ["r0", "r5"], ids=["reader", "follower"])
+def test_a_copy_is_confirmed_when_it_is_needed(monkeypatch, name):
+    """The call that waits for a change was sent too early to show what there is now."""
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    fleet.clock.run_until(103.0)
+    fleet.store.held.clear()
+    fleet.store.put("k")
+    answered: list[bool] = []
+    watch = fleet.watch_by_name[name]
+    watch.confirm(answered.append)
+    fleet.clock.run_until(103.0 + 3 * LATENCY_S)
+    assert answered == [True]
+    assert watch.confirmed_at >= 103.0
+    assert fleet.seen_at[name]["k"] <= fleet.clock.now
+    fleet.clock.run_until(103.0 + 6 * LATENCY_S)
+    if name in fleet.readers:
+        assert all("k" in seen for seen in fleet.seen_at.values())
+
+
+def test_an_outage_ends_with_the_first_answer_of_the_store(monkeypatch):
+    """Guards against the time for which a call without a response delays the next one."""
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    fleet.clock.run_until(103.0)
+    watch = fleet.watch_by_name["r5"]
+    fleet.store.is_up = False
+    fleet.clock.run_until(109.0)
+    answered: list[bool] = []
+    watch.confirm(answered.append)
+    fleet.clock.run_until(110.0)
+    assert answered == [False]
+    assert watch.is_store_down
+    fleet.store.is_up = True
+    fleet.store.put("k")
+    watch.confirm(answered.append)
+    fleet.clock.run_until(110.0 + 3 * LATENCY_S)
+    assert answered == [False, True]
+    assert "k" in fleet.seen_at["r5"]
+    assert not watch.is_store_down
+
+
+class Calls:
+    """A store that answers when a test says so, and the watch of one router."""
+
+    def __init__(self, monkeypatch):
+        self.reads: list[Any] = []
+        self.changes_calls: list[Any] = []
+        self.applied: list[int] = []
+        self.confirmed: list[bool] = []
+        now_s = iter(range(100, 200))
+        monkeypatch.setattr(table_watch, "now", lambda: float(next(now_s)))
+        feed: Any = SimpleNamespace(
+            read=lambda table, done: self.reads.append(done),
+            changes=lambda table, after, wait_s, done: self.changes_calls.append(done),
+        )
+        timers: Any = SimpleNamespace(after=lambda delay_s, callback: SimpleNamespace())
+        peers: Any = SimpleNamespace(is_reader=lambda: False)
+        self.watch = TableWatch(
+            feed,
+            timers,
+            RULES,
+            peers,
+            "t",
+            lambda page, away: self.applied.append(page.revision),
+            lambda page: None,
+        )
+        self.watch.start()
+
+    def confirm(self):
+        self.watch.confirm(self.confirmed.append)
+
+
+def page_of(revision):
+    return FeedPage([], {}, revision, float(revision))
+
+
+def test_a_read_that_arrives_late_reverts_nothing(monkeypatch):
+    """Two reads were under way at the end of an outage, and the older one came last."""
+    calls = Calls(monkeypatch)
+    calls.confirm()
+    calls.reads[1](page_of(7))
+    calls.reads[0](page_of(6))
+    assert calls.applied == [7]
+    assert calls.confirmed == [True]
+
+
+def test_a_confirmation_that_the_copy_did_not_get_is_not_reported(monkeypatch):
+    """An inquiry waited for it in vain."""
+    calls = Calls(monkeypatch)
+    calls.reads[0](page_of(5))
+    calls.confirm()
+    calls.watch.on_news(TableNews("t", 5, 6, 6.0, True, (), {}))
+    calls.changes_calls[0](page_of(5))
+    assert calls.confirmed == [False]
+    calls.confirm()
+    calls.changes_calls[1](page_of(6))
+    assert calls.confirmed == [False, True]
+
+
 @pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0, 15.0])
 def test_a_change_is_detected_in_time_if_a_response_is_lost(bound_s):
     """Guards against late detection of a change after a lost response.
