Ignore entries of targets that are nested too deeply

What callers saw: after another program had left one entry with a member of 5,000 nested lists among those of the targets, routers got no later change of the targets: requests went on to targets that had left, and new ones got none.

Cause: msgspec raises RecursionError for such a document, which is neither a MsgspecError nor a ValueError, so the error passed through decode_target and through its caller. The handler of the page ended, the other entries of the page were not applied, and no further call of the store was scheduled.

All documents of the store are now decoded by decode_document, which turns every failure into DocumentError. TargetEntries, taken out of the application object so that it can be tested without a network, ignores such an entry and applies the others. An entry of a known target that becomes invalid removes the target: it hides whether the target is leaving, and one that is not leaving writes its entry again by its next heartbeat. After an outage of the store such a target was kept for 2 s as one whose entry had lapsed.

An invalid row is logged once a minute at most, and 100 rows a minute: one that is written every second was a line a second.

Evidence, before the change: test_an_odd_entry_does_not_keep_a_router_from_ following_the_targets failed for the nested entry, both in the first read and in a change (the target that was added later got no request within 20 s), and passed for bytes that are no text, a port of 99999 and slots of 10**40. With the removal after an outage left out, test_an_odd_entry_of_a_known_target_is_ not_taken_for_the_earlier_one failed for "read after an outage". The process did not end: circuits logs an error of a handler and goes on.

--- a/packages/parsleyrudder/parsleyrudder/__init__.py
+++ b/packages/parsleyrudder/parsleyrudder/__init__.py
@@ -7,6 +7,7 @@
 from . import (
     admission,
     backends,
+    decoding,
     delivery,
     errors,
     feeds,
@@ -24,6 +25,7 @@
 )
 from .admission import *  # noqa: F403
 from .backends import *  # noqa: F403
+from .decoding import *  # noqa: F403
 from .delivery import *  # noqa: F403
 from .errors import *  # noqa: F403
 from .feeds import *  # noqa: F403
@@ -42,6 +44,7 @@
 __all__ = [
     *admission.__all__,
     *backends.__all__,
+    *decoding.__all__,
     *delivery.__all__,
     *errors.__all__,
     *feeds.__all__,
--- a/packages/parsleyrudder/parsleyrudder/errors.py
+++ b/packages/parsleyrudder/parsleyrudder/errors.py
@@ -4,6 +4,7 @@
 """
 
 __all__ = [
+    "DocumentError",
     "ListError",
     "RudderError",
     "SettingsError",
@@ -32,6 +33,18 @@
     code = "bad_settings"
 
 
+class DocumentError(RudderError):
+    """A document that another program has written is invalid, so it is ignored as a whole.
+
+    :param source: where the document is from, such as the key of its row.
+    """
+
+    code = "bad_document"
+
+    def __init__(self, source: str, message: str) -> None:
+        super().__init__(f"{source}: {message}", "correct it where it is written")
+
+
 class ListError(RudderError):
     """A row of the member list or the plan list is invalid.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -11,16 +11,15 @@
 from circuits.core import BaseComponent, Event, handler
 from parsleyrudder import (
     ActiveTrafficConfig,
+    DocumentError,
     Failure,
     FeedPage,
     FeedService,
     FleetView,
     Message,
     RouterInfo,
-    Row,
     SettingsError,
     TableNews,
-    Target,
     TrafficConfig,
     ViewRules,
     failure,
@@ -47,6 +46,7 @@
 from .state_report import StateReport
 from .stream_store import StreamStore
 from .table_watch import TableWatch, WatchRules
+from .target_entries import TargetEntries
 from .version_store import VersionStore
 
 __all__ = ["RelayApp"]
@@ -156,6 +156,8 @@
             StreamStore(feed, timers, settings.name, decoder.stream_table),
         )
         self.origins.link = self._link
+        self.api = RelayApi(self.context, self.origins, rng, self._request_refusal)
+        entries = TargetEntries(decoder, self.context.targets, self.api.pools.refresh)
         self._watch_by_table = {
             decoder.config_table: TableWatch(
                 feed,
@@ -173,11 +175,10 @@
                 self._watch_rules,
                 self.peers,
                 decoder.target_table,
-                self._on_target_read,
-                self._on_target_changes,
+                entries.on_read,
+                entries.on_changes,
             ),
         }
-        self.api = RelayApi(self.context, self.origins, rng, self._request_refusal)
         self._http_server = self._listen(settings.callers, self.api)
         self._state_report = StateReport(self.context, self.api, self._http_server, poller)
         self._endpoint_servers = [
@@ -320,7 +321,7 @@
     def _on_config(self, page: FeedPage) -> None:
         try:
             config = self._decoder.decode_config(page.rows)
-        except ValueError as error:
+        except DocumentError as error:
             log_event(_LOGGER, "config_ignored", logging.ERROR, reason=error)
             return
         if config is not None and self.context.active_config.activate(config):
@@ -339,29 +340,6 @@
         self._http_server.request_reader.set_limits(limits)
         self.api.pools.refresh()
 
-    def _on_target_read(self, page: FeedPage, after_outage: bool) -> None:
-        targets = [target for target in map(self._decode_target, page.rows) if target is not None]
-        self.context.targets.replace_all(targets, after_outage, now())
-        self.api.pools.refresh()
-
-    def _on_target_changes(self, page: FeedPage) -> None:
-        for key in page.removed:
-            self.context.targets.remove(key)
-        for row in page.rows:
-            target = self._decode_target(row)
-            if target is None:
-                self.context.targets.remove(row.key)
-            else:
-                self.context.targets.put(target)
-        self.api.pools.refresh()
-
-    def _decode_target(self, row: Row) -> Target | None:
-        try:
-            return self._decoder.decode_target(row)
-        except ValueError as error:
-            log_event(_LOGGER, "target_ignored", logging.WARNING, reason=error)
-            return None
-
     def _check_expiry(self) -> None:
         """Drop lapsed targets and update the readiness; both change with time alone."""
         self.context.timers.after(_EXPIRY_CHECK_INTERVAL_S, self._check_expiry)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -138,13 +138,13 @@
     def decode_config(self, rows: list[Row]) -> TrafficConfig | None:
         """Return the configuration among the rows, or None if none of them holds one.
 
-        :raises ValueError: if the row does not hold a valid configuration.
+        :raises DocumentError: if the row does not hold a valid configuration.
         """
         ...
 
     def decode_target(self, row: Row) -> Target:
         """Return the target that a row describes.
 
-        :raises ValueError: if the row does not describe a target.
+        :raises DocumentError: if the row does not describe a target.
         """
         ...
