Keep following a table after an error in the handler of its rows

A watch scheduled its next call of the store after it had handled the page, so any error in a handler ended the watch for the life of the process; the nested entry of a target was one such error. The next call is now scheduled before the page is handled.

Evidence: test_an_error_in_a_handler_of_rows_does_not_end_a_watch failed in all four cases before the change: a change after the error was never seen.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -165,8 +165,10 @@
         if self._is_store_down:
             log_event(_LOGGER, "store_back", table=self._table, revision=page.revision)
         self._copy.apply_read(page, sent_at)
-        self._on_read(page, self._is_store_down)
+        after_outage = self._is_store_down
         self._on_success(0.0)
+        self._on_read(page, after_outage)
+        self._on_confirmed(self._copy.confirmed_at)
 
     def _on_changes_done(self, page: FeedPage | TableError, after: int, sent_at: float) -> None:
         self._is_call_in_flight = False
@@ -174,11 +176,12 @@
             self._on_error(page)
             return
         new = self._copy.apply_changes(page, sent_at)
+        self._on_success(0.0 if page.is_empty else self._rules.coalesce_s)
         if not new.is_empty:
             self._on_change(new)
+        self._on_confirmed(self._copy.confirmed_at)
         if self._peers.is_reader():
             self._publish(page, after)
-        self._on_success(0.0 if page.is_empty else self._rules.coalesce_s)
 
     def _publish(self, page: FeedPage, after: int) -> None:
         rows = tuple(ChangedRow(row.key, row.value, row.revision) for row in page.rows)
@@ -196,9 +199,9 @@
         )
 
     def _on_success(self, delay_s: float) -> None:
+        """Schedule the next call; before the page is handled, as an error may end that."""
         self._is_store_down = False
         self._retry_s = _FIRST_RETRY_S
-        self._on_confirmed(self._copy.confirmed_at)
         self._schedule_call(delay_s)
 
     def _schedule_call(self, delay_s: float) -> None:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -1,5 +1,6 @@
 """Watches of one table by several routers without a network: calls and detected changes."""
 
+import contextlib
 from typing import Any
 
 import pytest
@@ -100,6 +101,7 @@
         self.store: Any = Store(self.clock)
         self.readers = {f"r{n}" for n in range(readers)}
         self.silent = set()
+        self.failing_key = ""
         self.seen_at: dict[str, dict[str, float]] = {f"r{n}": {} for n in range(routers)}
         self.confirmed_at = {}
         self.watch_by_name = {name: self._watch(name) for name in self.seen_at}
@@ -109,6 +111,8 @@
     def _watch(self, name):
         def on_page(page, away=False):
             for row in page.rows:
+                if row.key == self.failing_key:
+                    raise RuntimeError("the handler failed")
                 self.seen_at[name].setdefault(row.key, self.clock.now)
 
         return TableWatch(
@@ -189,3 +193,16 @@
     A target got a request 2.25 s after it had announced that it leaves; the bound was 2 s.
     """
     assert WatchRules.within(bound_s).max_detection_s < 0.95 * bound_s
+
+
+@pytest.mark.parametrize("is_reader", [True, False])
+@pytest.mark.parametrize("failing", ["a", "b"], ids=["read", "change"])
+def test_an_error_in_a_handler_of_rows_does_not_end_a_watch(monkeypatch, is_reader, failing):
+    """The watch scheduled its next call after the handler, and so never again."""
+    fleet = Fleet(monkeypatch, routers=1, readers=int(is_reader))
+    fleet.failing_key = failing
+    for key in ("a", "b"):
+        fleet.store.put(key)
+        with contextlib.suppress(RuntimeError):
+            fleet.clock.run_until(fleet.clock.now + 2.0)
+    assert fleet.put("c") < 2.0
