Bound the timeout by which a route's returning callers are recognised

A caller that retries sends a shorter timeout than at first, so the longest timeout of a route, less that of a request, counts as time already waited. One caller with a timeout far beyond the route's made all later requests of the route overdue for the life of the process: they were queued for no time and placed as latecomers. The longest timeout is now at most that of the route, beyond which no caller is kept waiting.

A difference of callers within the route's timeout counts as before.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -154,12 +154,14 @@
         timeout_s = route.timeout_s
         elapsed_s = 0.0
         if request.timeout_s is not None:
-            max_timeout_s = max(request.timeout_s, self._max_timeout_by_route.get(route.name, 0.0))
+            timeout_s = min(route.timeout_s, request.timeout_s)
+            longest_s = max(timeout_s, self._max_timeout_by_route.get(route.name, 0.0))
+            # Beyond the route's timeout, one caller's value would make all later ones look late.
+            max_timeout_s = min(route.timeout_s, longest_s)
             self._max_timeout_by_route[route.name] = max_timeout_s
             # A caller that retries after a refusal sends a shorter timeout than at first, so the
             # difference to the longest timeout seen on this route is the time already elapsed.
-            elapsed_s = max_timeout_s - request.timeout_s
-            timeout_s = min(timeout_s, request.timeout_s)
+            elapsed_s = max_timeout_s - timeout_s
         due_s = route.target_latency_s - elapsed_s
         if accepted.is_resumption:
             # The caller has its first event, and waits for the next one.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
@@ -1,6 +1,7 @@
 """When the next event of a stream is due that a caller resumes, without a network."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -41,7 +42,10 @@
 
     monkeypatch.setattr(relay_api, "RelayCall", Call)
     monkeypatch.setattr(relay_api, "now", lambda: NOW)
-    config = SimpleNamespace(find_route=lambda host, path: ROUTE, organisation_by_key={})
+    route_by_host = {"h": ROUTE, "shortened": replace(ROUTE, timeout_s=10.0)}
+    config = SimpleNamespace(
+        find_route=lambda host, path: route_by_host[host], organisation_by_key={}
+    )
     context: Any = SimpleNamespace(
         is_stopping=False,
         dialect=SimpleNamespace(decode_request=lambda request: request.decoded),
@@ -75,3 +79,16 @@
     _, submitted = relayed(monkeypatch, [first, again])
     assert submitted.response_due_at == pytest.approx(NOW + due_in_s)
     assert submitted.required_version == version
+
+
+@pytest.mark.parametrize(
+    ("timeout_s", "host"), [(16.0, "h"), (1e9, "h"), (15.0, "shortened"), (1e9, "shortened")]
+)
+def test_a_caller_with_a_very_long_timeout_does_not_make_later_requests_overdue(
+    monkeypatch, timeout_s, host
+):
+    """All later requests of the route counted as retries of a caller that had waited for long."""
+    patient = DecodedRequest("a", "h", "/", "", timeout_s, RequestSize())
+    other = DecodedRequest("b", host, "/", "", 15.0, RequestSize())
+    _, submitted = relayed(monkeypatch, [patient, other])
+    assert submitted.response_due_at == pytest.approx(NOW + 0.8)
