Go on after an invalid message or address of another router

A message that is nested too deeply raised RecursionError out of the loop that receives messages. An address that ZeroMQ can't parse, such as one from a row that another program has written to the table of routers, raised an error for each message to its router: those after it in the same round got no load report, the announcement of a stop ended before the router's row was removed and its listener closed, and the socket that was left open kept the ZeroMQ context from terminating, so that the process did not end by itself after SIGTERM.

decode_message now raises DocumentError for every invalid message. A socket whose address is refused is closed, the refusal is logged once, and messages to that address are dropped.

ZeroMQ accepts a port of 99999, so that case holds back nothing either way.

--- a/packages/parsleyrudder/parsleyrudder/messages.py
+++ b/packages/parsleyrudder/parsleyrudder/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .decoding import decode_document
 from .lists import Difference
 from .message_base import BaseMessage, MessagePart
 from .relay_messages import (
@@ -287,7 +288,7 @@
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Message)
+_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
 def encode_message(message: Message) -> bytes:
@@ -298,9 +299,9 @@
 def decode_message(data: bytes) -> Message:
     """Decode a message.
 
-    :raises msgspec.DecodeError: if the bytes are not a valid message.
+    :raises DocumentError: if the bytes are not a valid message.
 
     >>> decode_message(encode_message(ConfigRequest("a", 3)))
     ConfigRequest(sender='a', known_version=3)
     """
-    return _DECODER.decode(data)
+    return decode_document(_DECODER, data, "message of another router")
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -8,13 +8,12 @@
 import logging
 from collections.abc import Callable, Iterable
 
-import msgspec
 import zmq
 import zmq.auth.thread
 from circuits.core import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
-from parsleyrudder import Message, decode_message, encode_message
+from parsleyrudder import DocumentError, Message, decode_message, encode_message
 
 from .logs import log_event
 
@@ -74,6 +73,7 @@
         self._router_socket.maxmsgsize = _MAX_MESSAGE_BYTES
         self._router_socket.bind(f"tcp://{bind}")
         self._dealer_by_address: dict[str, zmq.Socket] = {}
+        self._invalid_addresses: set[str] = set()
         self._poller: BasePoller | None = None
         self.bytes_in = 0
         self.bytes_out = 0
@@ -92,15 +92,29 @@
             self._send(address, data)
 
     def _send(self, address: str, data: bytes) -> None:
-        dealer = self._dealer_by_address.get(address)
+        dealer = self._dealer(address)
         if dealer is None:
-            dealer = self._dealer_by_address[address] = self._connect(address)
+            return
         try:
             dealer.send(data, zmq.NOBLOCK)
         except zmq.Again:
             return
         self.bytes_out += len(data)
 
+    def _dealer(self, address: str) -> zmq.Socket | None:
+        """Return the socket to an address, or None if the address is not valid."""
+        dealer = self._dealer_by_address.get(address)
+        if dealer is not None or address in self._invalid_addresses:
+            return dealer
+        try:
+            dealer = self._dealer_by_address[address] = self._connect(address)
+        except (zmq.ZMQError, ValueError) as error:
+            self._invalid_addresses.add(address)
+            log_event(
+                _LOGGER, "peer_address_refused", logging.WARNING, address=address, reason=error
+            )
+        return dealer
+
     def disconnect(self, address: str) -> None:
         """Close the socket to an address, so that the next message connects at once.
 
@@ -114,6 +128,7 @@
         """Close the sockets to all addresses but these, such as those to replaced routers."""
         for address in self._dealer_by_address.keys() - addresses:
             self._dealer_by_address.pop(address).close(0)
+        self._invalid_addresses &= addresses
 
     def close(self) -> None:
         """Close all sockets; queued messages are still sent for up to 200 ms."""
@@ -153,12 +168,17 @@
             self.bytes_in += len(data)
             try:
                 message = decode_message(data)
-            except msgspec.DecodeError as error:
+            except DocumentError as error:
                 log_event(_LOGGER, "peer_message_refused", logging.WARNING, reason=error)
                 continue
             self._on_message(message)
 
     def _connect(self, address: str) -> zmq.Socket:
+        """Return a new socket that connects to an address.
+
+        :raises zmq.ZMQError: if the address is not valid.
+        :raises ValueError: if it contains a NUL.
+        """
         dealer = self._context.socket(zmq.DEALER)
         if self._keys is not None:
             dealer.curve_serverkey = self._keys.public
@@ -171,5 +191,10 @@
         dealer.reconnect_ivl_max = _TIMEOUT_MS
         dealer.sndhwm = _SEND_QUEUE_MESSAGES
         dealer.linger = 0
-        dealer.connect(f"tcp://{address}")
+        try:
+            dealer.connect(f"tcp://{address}")
+        except (zmq.ZMQError, ValueError):
+            # A socket that stays open would keep the context from terminating.
+            dealer.close(0)
+            raise
         return dealer
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -1,10 +1,12 @@
 """Connections between routers: those to replaced routers must be closed."""
 
 import contextlib
+import logging
 import socket
 
 import pytest
-from parsleyrudder import ConfigRequest
+import zmq
+from parsleyrudder import ConfigRequest, Message, encode_message
 from parsleyrudder_adapters.peers import PeerLink
 
 LIMIT_S = 10.0
@@ -19,6 +21,18 @@
         yield listeners
 
 
+@pytest.fixture
+def received() -> list[Message]:
+    return []
+
+
+@pytest.fixture
+def link(received):
+    link = PeerLink("127.0.0.1:*", None, received.append)
+    yield link
+    link.close()
+
+
 def read_until_closed(connection):
     """Read until the peer closes."""
     while connection.recv(4096):
@@ -41,3 +55,29 @@
         with pytest.raises(TimeoutError):
             read_until_closed(kept)
         link.close()
+
+
+@pytest.mark.parametrize("odd", ["10.0.0.1:99999", "10.0.0.1", "", "a\x00b:1", "[:1", "10.0.0.1:x"])
+def test_an_odd_address_does_not_keep_messages_from_other_routers(servers, link, caplog, odd):
+    """The error of the connection ended the loop, so that the routers after it got no message."""
+    address = f"127.0.0.1:{servers[0].getsockname()[1]}"
+    with caplog.at_level(logging.WARNING):
+        for _ in range(3):
+            link.send_all([odd, address], ConfigRequest("r", 1))
+    servers[0].accept()[0].close()
+    assert len(caplog.records) <= 1
+
+
+ODD_MESSAGES = [b"", b"\xc1", b"\x91\xa6Gossip", b"\x92\xa6Gossip" + b"\x91" * 5000 + b"\xc0"]
+
+
+@pytest.mark.parametrize("odd", ODD_MESSAGES, ids=["empty", "invalid", "short", "nested"])
+def test_an_odd_message_does_not_keep_a_router_from_receiving_the_next_one(link, received, odd):
+    router_socket = link._router_socket
+    with zmq.Context() as context, context.socket(zmq.DEALER) as sender:
+        sender.connect(router_socket.getsockopt(zmq.LAST_ENDPOINT).decode())
+        sender.send(odd)
+        sender.send(encode_message(ConfigRequest("r", 1)))
+        while not received and router_socket.poll(1000 * LIMIT_S):
+            link._receive_all()
+    assert received == [ConfigRequest("r", 1)]
