Receive the messages after one whose handler fails

ZeroMQ's descriptor is edge-triggered. An error in the handler of a message ended the loop that receives all that have arrived, so that the messages after it stayed in the socket until a further one arrived. Such an error is now logged with its trace as peer_message_failed, and the loop goes on.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/peers.py
@@ -171,7 +171,14 @@
             except DocumentError as error:
                 log_event(_LOGGER, "peer_message_refused", logging.WARNING, reason=error)
                 continue
+            self._handle(message)
+
+    def _handle(self, message: Message) -> None:
+        try:
             self._on_message(message)
+        except Exception:
+            # An error must not leave the messages after this one in the socket.
+            _LOGGER.exception("event=peer_message_failed type=%s", type(message).__name__)
 
     def _connect(self, address: str) -> zmq.Socket:
         """Return a new socket that connects to an address.
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -81,3 +81,22 @@
         while not received and router_socket.poll(1000 * LIMIT_S):
             link._receive_all()
     assert received == [ConfigRequest("r", 1)]
+
+
+def test_an_error_in_the_handling_of_a_message_does_not_hold_up_the_next_one(link, received):
+    """The descriptor is edge-triggered, so the next message waited for a further one to arrive."""
+
+    def handle(message):
+        received.append(message)
+        if len(received) == 1:
+            raise RuntimeError("the handler failed")
+
+    link._on_message = handle
+    router_socket = link._router_socket
+    with zmq.Context() as context, context.socket(zmq.DEALER) as sender:
+        sender.connect(router_socket.getsockopt(zmq.LAST_ENDPOINT).decode())
+        for version in (1, 2):
+            sender.send(encode_message(ConfigRequest("r", version)))
+        while len(received) < 2 and router_socket.poll(1000 * LIMIT_S):
+            link._receive_all()
+    assert received == [ConfigRequest("r", 1), ConfigRequest("r", 2)]
