Check the rows in which routers register

A row under the name of a running router with a later incarnation made others take its messages for those of an earlier start, so that it counted as silent, and the router itself did nothing about it. A nested row ended the handling of all rows after it.

A row is now decoded with checked values: its key is the router's name, the addresses are IPv4 addresses with ports, the incarnation leaves room for later ones. Others are ignored and logged once a minute at most. A router that finds a later incarnation in its own row takes one after it, as it already did if another router told it so.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_peers.py
@@ -68,7 +68,9 @@
     assert len(caplog.records) <= 1
 
 
-ODD_MESSAGES = [b"", b"\xc1", b"\x91\xa6Gossip", b"\x92\xa6Gossip" + b"\x91" * 5000 + b"\xc0"]
+# A message with one element more than its type has.
+NESTED = b"\x9a\xa6Gossip\xa1a\x00\xc2\xc2\x90\x90\x90\xc2" + b"\x91" * 5000 + b"\xc0"
+ODD_MESSAGES = [b"", b"\xc1", b"\x91\xa6Gossip", NESTED]
 
 
 @pytest.mark.parametrize("odd", ODD_MESSAGES, ids=["empty", "invalid", "short", "nested"])
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from parsleyrudder import (
+    DocumentError,
     FeedPage,
     FeedService,
     Gossip,
@@ -18,7 +19,9 @@
 from parsleyrudder_adapters.timers import Timer
 
 from .context import RelayContext, now
+from .ignored_rows import IgnoredRows
 from .load_reports import LoadReports
+from .router_rows import decode_router
 from .row_removal import log_failed_removal, remove_row
 
 __all__ = ["PeersTask"]
@@ -58,6 +61,7 @@
         self._is_registered = False
         self._row_first_seen_at: dict[tuple[str, int], float] = {}
         self._read_timer: Timer | None = None
+        self._ignored_rows = IgnoredRows("router_row_ignored")
         self._reports = reports
         self.link: PeerLink | None = None
 
@@ -133,10 +137,12 @@
 
         Incarnations are start times, so this happens if the clock was set back before a restart.
         """
+        own_name = self._context.view.own_info.name
+        newest = max((s.incarnation for s in gossip.states if s.name == own_name), default=0)
+        self._raise_incarnation_above(newest)
+
+    def _raise_incarnation_above(self, newest: int) -> None:
         view = self._context.view
-        newest = max(
-            (s.incarnation for s in gossip.states if s.name == view.own_info.name), default=0
-        )
         if newest > view.own_info.incarnation:
             view.own_info = msgspec.structs.replace(view.own_info, incarnation=newest + 1)
             log_event(_LOGGER, "incarnation_raised", incarnation=view.own_info.incarnation)
@@ -207,21 +213,30 @@
         routers = len(self._context.view.live_routers(now()))
         self._schedule_read(_MIN_READ_INTERVAL_S * max(1.0, routers / _ROUTERS_PER_READ_INTERVAL))
         at = now()
-        is_registered = False
+        own_incarnation = -1
         for row in page.rows:
             try:
-                info = msgspec.msgpack.decode(row.value, type=RouterInfo)
-            except msgspec.MsgspecError as error:
-                log_event(_LOGGER, "router_row_ignored", logging.WARNING, reason=error)
+                info = decode_router(row)
+            except DocumentError as error:
+                self._ignored_rows.record(row.key, error)
                 continue
-            own = self._context.view.own_info
-            is_registered |= info.name == own.name and info.incarnation >= own.incarnation
+            if info.name == self._context.view.own_info.name:
+                own_incarnation = info.incarnation
             self._context.view.add_unconfirmed(info, False, at)
             self._remove_row_if_dead(info, row.revision, at)
-        if not is_registered:
+        self._check_registration(own_incarnation)
+
+    def _check_registration(self, incarnation: int) -> None:
+        """Register again if this router's row is missing, or names another incarnation.
+
+        :param incarnation: incarnation in the row; -1 if there is no valid one.
+        """
+        if incarnation < self._context.view.own_info.incarnation:
             # Others remove the row of a router that is silent for long.
             log_event(_LOGGER, "registration_lost")
             self._register()
+        else:
+            self._raise_incarnation_above(incarnation)
 
     def _remove_row_if_dead(self, info: RouterInfo, revision: int, at: float) -> None:
         """Remove the row of a router that is presumed dead after a long silence."""
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -97,9 +97,9 @@
 def test_a_router_registers_again_if_its_row_is_gone(monkeypatch, incarnations, puts):
     """Others remove the row of a router that is silent for a minute, which may only be cut off."""
     task, _ = make(monkeypatch, routers=2)
-    infos = [RouterInfo(name, number, "a", "h:1", "h:2") for name, number in incarnations.items()]
+    rows = [router_row(name, incarnation=number) for name, number in incarnations.items()]
     store: Any = task._feed
-    store.rows = [Row(info.name, msgspec.msgpack.encode(info), 1) for info in infos]
+    store.rows = rows
     task._register()
     task._read_rows()
     assert store.puts == puts
@@ -132,3 +132,46 @@
     [reply] = sent
     assert (len(reply.infos) > 1) == is_full
     assert len(encode_message(reply)) < (1100 if is_full else 400)
+
+
+NESTED = b"\x96\xa1x\x01\xa1a\xa1b\xa1c" + b"\x91" * 5000 + b"\xc0"
+
+
+def router_row(key="x", **changes):
+    info = RouterInfo(key, 1, "a", "10.0.0.1:1", "10.0.0.1:2")
+    return Row(key, msgspec.msgpack.encode(msgspec.structs.replace(info, **changes)), 1)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        pytest.param(Row("x", NESTED, 1), id="nested"),
+        pytest.param(Row("x", b"", 1), id="empty"),
+        pytest.param(router_row(name="r0"), id="another-name"),
+        pytest.param(router_row(peer_address="10.0.0.1:99999"), id="port"),
+        pytest.param(router_row(peer_address="resolved.example:80"), id="name-to-be-resolved"),
+        pytest.param(router_row(caller_url="10.0.0.1"), id="no-port"),
+        pytest.param(router_row(incarnation=2**63), id="incarnation"),
+        pytest.param(router_row(incarnation=-1), id="negative-incarnation"),
+    ],
+)
+def test_an_odd_row_of_a_router_hides_no_other_one(monkeypatch, odd):
+    """Callers were referred to its address, and messages to it failed."""
+    task, context = make(monkeypatch, routers=1)
+    store: Any = task._feed
+    store.rows = [odd, router_row("y"), router_row("me")]
+    task._register()
+    task._read_rows()
+    assert [info.name for info in context.view.peers(100.0)] == ["y"]
+    assert store.puts == 1
+
+
+def test_a_row_with_a_later_incarnation_does_not_replace_a_running_router(monkeypatch):
+    """Others took its later messages for those of an earlier incarnation, and for silence."""
+    task, context = make(monkeypatch, routers=1)
+    store: Any = task._feed
+    store.rows = [router_row("me", incarnation=7000)]
+    task._register()
+    task._read_rows()
+    assert context.view.own_info.incarnation == 7001
+    assert store.puts == 2
