Ignore rows of quarantines and streams that can't be used

A nested row in the table of streams ended each read of it with RecursionError, so that all callers that waited for the result got none. A row of quarantines that was nested, or with a time that is not a number or infinite, kept all quarantines from being read at a start; one with a time of -1e300 made an age of more than 64 bits, which no report to other routers could hold.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
@@ -3,25 +3,31 @@
 import logging
 import time
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from parsleyrudder import (
+    DocumentError,
     FeedPage,
     FeedService,
     Suspect,
     SuspectCrashes,
     SuspectKind,
     TableError,
+    decode_document,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
+from .ignored_rows import IgnoredRows
 from .row_removal import remove_row
 
 __all__ = ["QuarantineRow", "QuarantineStore"]
 
 _LOGGER = logging.getLogger(__name__)
 _RETRY_DELAY_S = 1.0
+# Bounded, so that ages in milliseconds fit into messages.
+_UnixTimeS = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 
 
 class QuarantineRow(msgspec.Struct, array_like=True, frozen=True):
@@ -33,7 +39,10 @@
     pool: str
     kind: SuspectKind
     id: str
-    crashed_at_by_lifetime: dict[str, float]
+    crashed_at_by_lifetime: dict[str, _UnixTimeS]
+
+
+_DECODER = msgspec.msgpack.Decoder(QuarantineRow)
 
 
 class QuarantineStore:
@@ -51,6 +60,7 @@
         self._crash_count_by_suspect: dict[Suspect, int] = {}
         self._is_writing: set[Suspect] = set()
         self._is_read = False
+        self._ignored_rows = IgnoredRows("quarantine_row_ignored")
 
     def start(self, on_read: Callable[[list[SuspectCrashes]], None]) -> None:
         """Read the rows; a failed read is repeated.
@@ -97,9 +107,9 @@
         stored = []
         for row in page.rows:
             try:
-                decoded = msgspec.msgpack.decode(row.value, type=QuarantineRow)
-            except msgspec.MsgspecError as error:
-                log_event(_LOGGER, "quarantine_row_ignored", logging.WARNING, reason=error)
+                decoded = decode_document(_DECODER, row.value, f"row {row.key!r}")
+            except DocumentError as error:
+                self._ignored_rows.record(row.key, error)
                 continue
             suspect = Suspect(decoded.pool, decoded.kind, decoded.id)
             self._crash_count_by_suspect[suspect] = len(decoded.crashed_at_by_lifetime)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -12,15 +12,18 @@
 import msgspec
 from parsleyrudder import (
     STREAM_KEY_BYTES,
+    DocumentError,
     FeedPage,
     FeedService,
     StreamStart,
     TableError,
+    decode_document,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
 from .context import now
+from .ignored_rows import IgnoredRows
 
 __all__ = ["StreamStore"]
 
@@ -46,6 +49,7 @@
     keys_by_version_by_pool: dict[str, dict[str, bytes]]
 
 
+_DECODER = msgspec.msgpack.Decoder(_StreamRow)
 FindCallback = Callable[[StreamStart | None], None]
 
 
@@ -68,6 +72,7 @@
         self._read_at = float("-inf")
         self._is_reading = False
         self._waiting: list[tuple[bytes, FindCallback]] = []
+        self._ignored_rows = IgnoredRows("streams_row_ignored")
 
     def add(self, starts: Iterable[StreamStart]) -> None:
         """Record streams that have begun."""
@@ -140,10 +145,19 @@
             log_event(_LOGGER, "streams_not_read", logging.WARNING, reason=page)
         else:
             self._read_at = sent_at
-            self._rows = _decode_rows(page)
+            self._rows = self._decode_rows(page)
         for key, done in waiting:
             done(self._search(key))
 
+    def _decode_rows(self, page: FeedPage) -> list[_StreamRow]:
+        rows = []
+        for row in page.rows:
+            try:
+                rows.append(decode_document(_DECODER, row.value, f"row {row.key!r}"))
+            except DocumentError as error:
+                self._ignored_rows.record(row.key, error)
+        return rows
+
     def _search(self, key: bytes) -> StreamStart | None:
         for row in self._rows:
             for pool, keys_by_version in row.keys_by_version_by_pool.items():
@@ -161,17 +175,6 @@
     return msgspec.msgpack.encode(_StreamRow(keys_by_version_by_pool))
 
 
-def _decode_rows(page: FeedPage) -> list[_StreamRow]:
-    rows = []
-    for row in page.rows:
-        try:
-            rows.append(msgspec.msgpack.decode(row.value, type=_StreamRow))
-        except msgspec.MsgspecError as error:
-            text = f"row {row.key!r}: {error}"
-            log_event(_LOGGER, "streams_row_ignored", logging.WARNING, reason=text)
-    return rows
-
-
 def _contains(keys: bytes, key: bytes) -> bool:
     """Whether a key is among joined keys.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -5,10 +5,19 @@
 from dataclasses import dataclass
 
 import msgspec
-from parsleyrudder import FeedPage, FeedService, PoolVersion, TableError
+from parsleyrudder import (
+    DocumentError,
+    FeedPage,
+    FeedService,
+    PoolVersion,
+    TableError,
+    decode_document,
+)
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
+from .ignored_rows import IgnoredRows
+
 __all__ = ["StoredVersions", "VersionStore"]
 
 _LOGGER = logging.getLogger(__name__)
@@ -16,6 +25,7 @@
 # Key of the row that is written once the table lists all versions; no version has this key.
 _COMPLETE_KEY = "complete"
 _REMOVED_PER_CALL = 100
+_DECODER = msgspec.msgpack.Decoder(PoolVersion)
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,6 +55,7 @@
         self._keys_in_flight: set[str] = set()
         self._is_read = False
         self._is_removing = False
+        self._ignored_rows = IgnoredRows("versions_row_ignored")
 
     def start(self, on_read: Callable[[StoredVersions], None]) -> None:
         """Read the rows; a failed read is repeated.
@@ -110,12 +121,11 @@
         for row in page.rows:
             try:
                 if row.key != _COMPLETE_KEY:
-                    versions.add(msgspec.msgpack.decode(row.value, type=PoolVersion))
+                    versions.add(decode_document(_DECODER, row.value, f"row {row.key!r}"))
                 self._stored_keys.add(row.key)
-            except msgspec.MsgspecError as error:
+            except DocumentError as error:
                 self._damaged_keys.add(row.key)
-                text = f"row {row.key!r}: {error}"
-                log_event(_LOGGER, "versions_row_ignored", logging.WARNING, reason=text)
+                self._ignored_rows.record(row.key, error)
         is_complete = _COMPLETE_KEY in self._stored_keys and not self._damaged_keys
         return StoredVersions(frozenset(versions), is_complete, is_empty=not page.rows)
 
