Keep the keys of rows within the store's 200 bytes

The keys of versions and quarantines were cut at 200 characters. With names outside of ASCII they were longer than the 200 bytes that the store accepts, so that the row was refused and written again each second; and two long names with the same start shared a row, so that only one of them was kept. Ids of prompt parts, which are in the keys of quarantines, come from callers. A key that is too long now ends with a digest of the whole.

Evidence: both cases of test_the_key_of_a_row_is_no_longer_than_the_store_ allows failed before.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
@@ -20,6 +20,7 @@
 from parsleyrudder_adapters.timers import Timers
 
 from .ignored_rows import IgnoredRows
+from .row_keys import row_key
 from .row_removal import remove_row
 
 __all__ = ["QuarantineRow", "QuarantineStore"]
@@ -118,7 +119,7 @@
 
 
 def _row_key(suspect: Suspect) -> str:
-    return f"{suspect.kind}/{suspect.id}/{suspect.pool}"[:200]
+    return row_key(suspect.kind, suspect.id, suspect.pool)
 
 
 def _encode(crashes: SuspectCrashes) -> bytes:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_odd_rows.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_odd_rows.py
@@ -10,6 +10,9 @@
     PoolVersion,
     Row,
     StreamStart,
+    Suspect,
+    SuspectCrashes,
+    SuspectKind,
     encode_message,
 )
 from parsleyrudder_daemon.relay.quarantine_store import QuarantineStore
@@ -71,3 +74,27 @@
     feed = feed_of(msgspec.msgpack.encode([{"p": {"v1": KEY}}]), odd)
     StreamStore(feed, TIMERS, "r", "streams").find(KEY, found.append)
     assert found == [StreamStart(KEY, "p", "v1")]
+
+
+@pytest.mark.parametrize("text", ["v" * 300, "ä" * 190], ids=["long", "two-byte"])
+def test_the_key_of_a_row_is_no_longer_than_the_store_allows(text):
+    """The store refused the row each time, and the router wrote it again each second."""
+    feed: Any = Feed()
+    versions = VersionStore(feed, TIMERS, "versions")
+    versions.start(lambda stored: None)
+    versions.save([PoolVersion(text, "v1"), PoolVersion(text, "v2")], is_complete=False)
+    quarantines = QuarantineStore(feed, TIMERS, "quarantines")
+    quarantines.start(lambda reports: None)
+    for id in (text + "1", text + "2"):
+        crashes = SuspectCrashes("p", SuspectKind.PART, id, {})
+        quarantines.save(Suspect("p", SuspectKind.PART, id), crashes)
+    assert len(feed.rows) == 4
+    assert max(len(key.encode()) for key in feed.rows) <= 200
+
+
+def test_a_short_key_of_a_row_stays_readable():
+    feed: Any = Feed()
+    versions = VersionStore(feed, TIMERS, "versions")
+    versions.start(lambda stored: None)
+    versions.save([PoolVersion("p", "v1")], is_complete=False)
+    assert list(feed.rows) == ["p/v1"]
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -17,6 +17,7 @@
 from parsleyrudder_adapters.timers import Timers
 
 from .ignored_rows import IgnoredRows
+from .row_keys import row_key
 
 __all__ = ["StoredVersions", "VersionStore"]
 
@@ -131,4 +132,4 @@
 
 
 def _row_key(version: PoolVersion) -> str:
-    return f"{version.pool}/{version.version}"[:200]
+    return row_key(version.pool, version.version)
