End an attempt whose event has an id of too many digits

An event id of more than 4,300 digits raised ValueError in the HTTP client's handler: the bytes were gone, and the stream went on without an end until a time limit. A shorter one was taken for a gap, or as the first id, which the caller sends back.

An id of more than 18 digits now makes the rest of the attempt unusable, as a gap does, so that a resumable stream goes on at another target.

Evidence: all cases of test_an_event_id_of_many_digits_ends_the_attempt_ instead_of_failing failed before.

--- a/packages/parsleyrudder/parsleyrudder/delivery/event_filter.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/event_filter.py
@@ -10,6 +10,9 @@
 
 __all__ = ["EventFilter"]
 
+# Integers of at most 18 digits have 64 bits.
+_MAX_ID_DIGITS = 18
+
 
 @dataclass(slots=True)
 class EventFilter:
@@ -55,9 +58,13 @@
     def _should_relay(self, event: bytes) -> bool:
         if self.error:
             return False
-        number = _event_id(event)
-        if number is None:
+        text = _event_id(event)
+        if text is None:
             return True
+        if len(text) > _MAX_ID_DIGITS:
+            self.error = f"an event has an id of {len(text)} digits"
+            return False
+        number = int(text)
         if self.last_id is not None:
             if number <= self.last_id:
                 return False
@@ -73,10 +80,10 @@
     return all(line.startswith(b":") or not line for line in event.split(b"\n"))
 
 
-def _event_id(event: bytes) -> int | None:
-    """Return the id of an event, or None if it has no numeric id."""
+def _event_id(event: bytes) -> bytes | None:
+    """Return the digits of an event's id, or None if it has no numeric id."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return text if text.isdigit() else None
     return None
--- a/packages/parsleyrudder/parsleyrudder/delivery/tests/test_event_filter.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/tests/test_event_filter.py
@@ -46,3 +46,14 @@
     for _ in range(40):
         event_filter.feed(b"x" * 65536)
     assert event_filter.error
+
+
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_an_event_id_of_many_digits_ends_the_attempt_instead_of_failing(digits):
+    """int() accepts at most 4,300 digits; its error left the stream without a further event."""
+    event_filter = EventFilter()
+    assert event_filter.feed(b"id: 1\ndata: a\n\n") == b"id: 1\ndata: a\n\n"
+    assert event_filter.feed(b"id: " + b"9" * digits + b"\ndata: b\n\n") == b""
+    assert "digits" in event_filter.error
+    event_filter.begin_attempt()
+    assert event_filter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
