Report a nested response of an engine or a table service to its reader

They are decoded by decode_document now; the table service's, which is read by json, catches RecursionError beside its other errors.

Evidence: all cases of test_the_reader_of_a_nested_response_learns_that_it_ failed and test_a_nested_event_of_an_engine_makes_its_stream_unusable failed before. The 400 has no test of its own.

--- a/packages/parsleyrudder/parsleyrudder/delivery/streams.py
+++ b/packages/parsleyrudder/parsleyrudder/delivery/streams.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ..decoding import decode_document
+from ..errors import DocumentError
 from .event_buffer import EventBuffer
 
 __all__ = ["CompletionStream", "StreamPart"]
@@ -31,6 +33,9 @@
     error: msgspec.Raw = msgspec.Raw(b"")
 
 
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+
 @dataclass(slots=True)
 class StreamPart:
     """New events and tokens found in one read from the engine.
@@ -100,8 +105,8 @@
         if not event.startswith(b"data: "):
             return not self._tokens_to_skip
         try:
-            chunk = msgspec.json.decode(event[6:], type=_Chunk)
-        except msgspec.MsgspecError:
+            chunk = decode_document(_CHUNK_DECODER, event[6:], "event")
+        except DocumentError:
             self.error = "an event is not a valid chat completion chunk"
             return False
         if chunk.id and not chunk.id.endswith(self.request_id):
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/engines.py
@@ -7,11 +7,14 @@
 from parsleyrudder import (
     BackendError,
     CacheEvents,
+    DocumentDecoder,
+    DocumentError,
     EngineLoad,
     EngineRequest,
     EngineState,
     Order,
     ResponseListener,
+    decode_document,
 )
 
 from .http_client import Exchange, HttpClient, HttpRequest
@@ -25,6 +28,9 @@
 _STALE_FENCE_STATUS = 409
 _ORDER_TIMEOUT_S = 30.0
 _READ_TIMEOUT_S = 2.0
+_LOAD_DECODER = msgspec.json.Decoder(EngineLoad)
+_STATE_DECODER = msgspec.json.Decoder(EngineState)
+_CACHE_EVENTS_DECODER = msgspec.json.Decoder(CacheEvents)
 
 
 class HttpEngines:
@@ -56,23 +62,23 @@
 
     def load(self, address: str, done: Callable[[EngineLoad | BackendError], None]) -> None:
         """Read the load of an engine."""
-        self._read(address, "/load", EngineLoad, done)
+        self._read(address, "/load", _LOAD_DECODER, done)
 
     def cache_events(
         self, address: str, after: int, done: Callable[[CacheEvents | BackendError], None]
     ) -> None:
         """Read the cache events with a sequence number above ``after``."""
-        self._read(address, f"/cache/events?after={after}", CacheEvents, done)
+        self._read(address, f"/cache/events?after={after}", _CACHE_EVENTS_DECODER, done)
 
     def state(self, address: str, done: Callable[[EngineState | BackendError], None]) -> None:
         """Read which model an engine has loaded and which it is loading."""
-        self._read(address, "/models", EngineState, done)
+        self._read(address, "/models", _STATE_DECODER, done)
 
     def _read(
         self,
         address: str,
         path: str,
-        document_type: type[_T],
+        decoder: DocumentDecoder[_T],
         done: Callable[[_T | BackendError], None],
     ) -> None:
         operation = f"{path[1:]} of {address}"
@@ -82,9 +88,9 @@
                 done(BackendError(f"{operation}: status {status}", _REMEDY))
                 return
             try:
-                document = msgspec.json.decode(body, type=document_type)
-            except msgspec.MsgspecError as error:
-                done(BackendError(f"{operation}: {error}", _REMEDY))
+                document = decode_document(decoder, body, operation)
+            except DocumentError as error:
+                done(BackendError(error.message, _REMEDY))
                 return
             done(document)
 
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/etcd.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/etcd.py
@@ -54,7 +54,7 @@
         if len(rows) != len(txn.reads):
             raise ValueError(f"got {len(rows)} range responses for {len(txn.reads)} reads")
         return TxnResult(bool(document.get("succeeded", False)), revision, rows)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         raise TableError(
             f"invalid response from the table service: {error}", _REMEDY, txn.has_writes
         ) from error
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/instances.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/instances.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
-from parsleyrudder import BackendError, Instance
+from parsleyrudder import BackendError, DocumentError, Instance, decode_document
 
 from .http_client import HttpClient, HttpRequest
 from .response_collector import ResponseCollector
@@ -11,6 +11,7 @@
 __all__ = ["HttpInstanceList"]
 
 _REMEDY = "check the instance list and its address in the settings"
+_DECODER = msgspec.json.Decoder(list[Instance])
 
 
 class HttpInstanceList:
@@ -32,9 +33,9 @@
                 fail(f"status {status}")
                 return
             try:
-                instances = msgspec.json.decode(body, type=list[Instance])
-            except msgspec.MsgspecError as error:
-                fail(error)
+                instances = decode_document(_DECODER, body, "response")
+            except DocumentError as error:
+                fail(error.message)
                 return
             done(instances)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/caller_api.py
@@ -5,7 +5,16 @@
 from urllib.parse import parse_qs
 
 import msgspec
-from parsleyrudder import Call, Failure, Member, WaitingCall, failure, key_digest
+from parsleyrudder import (
+    Call,
+    DocumentError,
+    Failure,
+    Member,
+    WaitingCall,
+    decode_document,
+    failure,
+    key_digest,
+)
 from parsleyrudder_adapters.http_server import CallerExchange
 from parsleyrudder_adapters.settings import PoolSettings
 
@@ -20,6 +29,7 @@
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 _AFFINITY_PREFIX_CHARS = 256
 _MAX_REQUEST_ID_LENGTH = 128
+_CHAT_DECODER = msgspec.json.Decoder(ChatRequest)
 
 
 class CallerApi:
@@ -99,9 +109,9 @@
             self._refuse(exchange, failure("bad_method", exchange.request.method))
             return
         try:
-            chat = msgspec.json.decode(exchange.request.body, type=ChatRequest)
-        except msgspec.DecodeError as error:
-            self._refuse(exchange, failure("bad_request", str(error)))
+            chat = decode_document(_CHAT_DECODER, exchange.request.body, "body")
+        except DocumentError as error:
+            self._refuse(exchange, failure("bad_request", error.message))
             return
         pool = self._pool_by_name.get(chat.model)
         if pool is None or pool.settings.kind != "engine":
