--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -13,18 +13,21 @@
 import msgspec
 from parsleyrudder import (
     STREAM_KEY_BYTES,
+    DocumentError,
     FeedGapError,
     FeedPage,
     FeedService,
     Row,
     StreamStart,
     TableError,
+    decode_document,
 )
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
 from .coalesced_read import CoalescedRead
 from .context import now
+from .ignored_rows import IgnoredRows
 
 __all__ = ["StreamStore"]
 
@@ -54,6 +57,9 @@
     keys_by_version_by_pool: dict[str, dict[str, bytes]]
 
 
+_DECODER = msgspec.msgpack.Decoder(_StreamRow)
+
+
 @dataclass(slots=True, frozen=True)
 class _KnownRow:
     revision: int
@@ -79,6 +85,7 @@
         self._row_number = 0
         self._row_by_key: dict[str, _KnownRow] = {}
         self._revision: int | None = None
+        self._ignored_rows = IgnoredRows("streams_row_ignored")
         self.reads = CoalescedRead(timers, self._read, _READ_INTERVAL_S)
 
     def add(self, starts: Iterable[StreamStart]) -> None:
@@ -193,10 +200,9 @@
         if known is not None and known.revision >= row.revision:
             return
         try:
-            decoded = msgspec.msgpack.decode(row.value, type=_StreamRow)
-        except msgspec.MsgspecError as error:
-            text = f"row {row.key!r}: {error}"
-            log_event(_LOGGER, "streams_row_ignored", logging.WARNING, reason=text)
+            decoded = decode_document(_DECODER, row.value, f"row {row.key!r}")
+        except DocumentError as error:
+            self._ignored_rows.record(row.key, error)
             return
         self._row_by_key[row.key] = _KnownRow(row.revision, decoded)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -143,31 +143,34 @@
         after = self._copy.revision
 
         def on_read(page: FeedPage | TableError) -> None:
-            done(isinstance(page, FeedPage) and self._confirm_by_read(page, sent_at))
+            is_confirmed = False
+            try:
+                is_confirmed = isinstance(page, FeedPage) and self._apply_read(page, sent_at)
+            finally:
+                done(is_confirmed)
 
         def on_changes(page: FeedPage | TableError) -> None:
             if isinstance(page, FeedGapError):
                 self._feed.read(self._table, on_read)
-            else:
-                assert after is not None
-                done(isinstance(page, FeedPage) and self._confirm_by(page, after, sent_at))
+                return
+            assert after is not None
+            is_confirmed = False
+            try:
+                is_confirmed = isinstance(page, FeedPage) and self._confirm_by(page, after, sent_at)
+            finally:
+                done(is_confirmed)
 
         if after is None or self._is_store_down:
             self._feed.read(self._table, on_read)
         else:
             self._feed.changes(self._table, after, 0.0, on_changes)
 
-    def _confirm_by_read(self, page: FeedPage, sent_at: float) -> bool:
-        is_applied = self._apply_read(page, sent_at)
-        self._record_answer()
-        return is_applied
-
     def _confirm_by(self, page: FeedPage, after: int, sent_at: float) -> bool:
+        """Apply the changes since a revision; return whether the copy is up to date then."""
         revision = self._copy.revision
         if revision is None:
             return False
         self._apply_changes(page, sent_at)
-        self._record_answer()
         if self._peers.is_reader() and not page.is_empty:
             # The next call for changes does not return these again.
             self._publish(page, after)
@@ -212,35 +215,49 @@
         if isinstance(page, TableError):
             self._on_error(page)
             return
-        self._apply_read(page, sent_at)
-        self._on_success(0.0)
+        try:
+            self._apply_read(page, sent_at)
+        finally:
+            # An error in the handler of the rows does not end the watch.
+            self._schedule_call(0.0)
 
     def _apply_read(self, page: FeedPage, sent_at: float) -> bool:
         """Apply a full read unless the copy is newer; return whether it was applied."""
+        after_outage = self._is_store_down
+        self._record_answer()
         is_older = self._copy.revision is not None and page.revision < self._copy.revision
-        if sent_at < self._read_sent_at or (is_older and not self._is_store_down):
+        if sent_at < self._read_sent_at or (is_older and not after_outage):
             return False
         self._read_sent_at = sent_at
-        if self._is_store_down:
+        if after_outage:
             log_event(_LOGGER, "store_back", table=self._table, revision=page.revision)
         self._copy.apply_read(page, sent_at)
-        self._on_read(page, self._is_store_down)
+        self._on_read(page, after_outage)
+        self._on_confirmed(self._copy.confirmed_at)
         return True
 
-    def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
-        new = self._copy.apply_changes(page, sent_at)
-        if not new.is_empty:
-            self._on_change(new)
-
     def _on_changes_done(self, page: FeedPage | TableError, after: int, sent_at: float) -> None:
         self._is_call_in_flight = False
         if isinstance(page, TableError):
             self._on_error(page)
             return
-        self._apply_changes(page, sent_at)
+        try:
+            self._apply_changes(page, sent_at)
+        finally:
+            self._schedule_call(0.0 if page.is_empty else self._rules.coalesce_s)
         if self._peers.is_reader():
             self._publish(page, after)
-        self._on_success(0.0 if page.is_empty else self._rules.coalesce_s)
+
+    def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
+        self._record_answer()
+        new = self._copy.apply_changes(page, sent_at)
+        if not new.is_empty:
+            self._on_change(new)
+        self._on_confirmed(self._copy.confirmed_at)
+
+    def _record_answer(self) -> None:
+        self._is_store_down = False
+        self._retry_s = _FIRST_RETRY_S
 
     def _publish(self, page: FeedPage, after: int) -> None:
         rows = tuple(ChangedRow(row.key, row.value, row.revision) for row in page.rows)
@@ -257,15 +274,6 @@
             )
         )
 
-    def _record_answer(self) -> None:
-        self._is_store_down = False
-        self._retry_s = _FIRST_RETRY_S
-        self._on_confirmed(self._copy.confirmed_at)
-
-    def _on_success(self, delay_s: float) -> None:
-        self._record_answer()
-        self._schedule_call(delay_s)
-
     def _schedule_call(self, delay_s: float) -> None:
         """Schedule the next call: for a reader after the delay, else when the copy is too old."""
         if not self._peers.is_reader():
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -5,11 +5,20 @@
 from dataclasses import dataclass
 
 import msgspec
-from parsleyrudder import FeedPage, FeedService, PoolVersion, TableError
+from parsleyrudder import (
+    DocumentError,
+    FeedPage,
+    FeedService,
+    PoolVersion,
+    TableError,
+    decode_document,
+)
 from parsleyrudder_adapters.logs import log_event
 from parsleyrudder_adapters.timers import Timers
 
 from .coalesced_read import CoalescedRead
+from .ignored_rows import IgnoredRows
+from .row_keys import row_key
 
 __all__ = ["StoredVersions", "VersionStore"]
 
@@ -20,6 +29,7 @@
 _REMOVED_PER_CALL = 100
 # Shortest time between two reads for streams whose version has to be inferred.
 _READ_INTERVAL_S = 0.2
+_DECODER = msgspec.msgpack.Decoder(PoolVersion)
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +62,7 @@
         self._is_removing = False
         self._on_versions: Callable[[StoredVersions], None] = lambda stored: None
         self.reads = CoalescedRead(timers, self._read_again, _READ_INTERVAL_S)
+        self._ignored_rows = IgnoredRows("versions_row_ignored")
 
     def start(self, on_read: Callable[[StoredVersions], None]) -> None:
         """Read the rows; a failed read is repeated.
@@ -131,15 +142,14 @@
         for row in page.rows:
             try:
                 if row.key != _COMPLETE_KEY:
-                    versions.add(msgspec.msgpack.decode(row.value, type=PoolVersion))
+                    versions.add(decode_document(_DECODER, row.value, f"row {row.key!r}"))
                 self._stored_keys.add(row.key)
-            except msgspec.MsgspecError as error:
+            except DocumentError as error:
                 self._damaged_keys.add(row.key)
-                text = f"row {row.key!r}: {error}"
-                log_event(_LOGGER, "versions_row_ignored", logging.WARNING, reason=text)
+                self._ignored_rows.record(row.key, error)
         is_complete = _COMPLETE_KEY in self._stored_keys and not self._damaged_keys
         return StoredVersions(frozenset(versions), is_complete, is_empty=not page.rows)
 
 
 def _row_key(version: PoolVersion) -> str:
-    return f"{version.pool}/{version.version}"[:200]
+    return row_key(version.pool, version.version)
