--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -154,6 +154,7 @@
         deadline, and the request not quarantined meanwhile.
         """
         current = self.context.targets.by_id.get(target.id)
+        crash_suspects = self.context.crash_suspects
         return (
             current is not None
             and not current.is_leaving
@@ -162,13 +163,12 @@
             and self.pool.admission.availability.may_send(target, self.waiting_request, now())
             and now() < self._relayed_request.deadline
             and not self._exchange.is_gone()
-            and (self.waiting_request.is_trial or not self._is_quarantined())
+            and (
+                self.waiting_request.is_trial
+                or crash_suspects.quarantine(self.waiting_request.suspects, now()) is None
+            )
         )
 
-    def _is_quarantined(self) -> bool:
-        suspects = self.waiting_request.suspects
-        return self.context.crash_suspects.quarantine(suspects, now()) is not None
-
     def on_signals(self, signals: TargetSignals) -> None:
         """See :class:`AttemptOwner`."""
         self._sends.signals_received(signals, now())
@@ -190,9 +190,8 @@
             self._trace.record_activity(now())
             self._buffered.body += data
             if len(self._buffered.body) > _MAX_RESPONSE_BYTES:
-                self._abandon_attempt(
-                    SendEnd.BROKEN, f"response exceeds {_MAX_RESPONSE_BYTES} bytes"
-                )
+                reason = f"response exceeds {_MAX_RESPONSE_BYTES} bytes"
+                self._abandon_attempt(SendEnd.BROKEN, reason)
             return
         event_count = self._event_filter.event_count
         events = self._event_filter.feed(data)
@@ -246,9 +245,8 @@
             self.on_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         else:
             text = f"the send to {attempt.target.id} ended {end}"
-            self._fail(
-                self._relayed_request.final_failure(text, self.pool.admission.retry_after_s(now()))
-            )
+            retry_after_s = self.pool.admission.retry_after_s(now())
+            self._fail(self._relayed_request.final_failure(text, retry_after_s))
 
     def _expect_next_event(self) -> None:
         """Set the times for the next event, if the caller has been sent a part of the stream."""
