--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_inquiries.py
@@ -155,21 +155,21 @@
             self._report(inquiry, inquiry.start, "told")
         elif inquiry.may_infer(self._evidence(at - inquiry.began_at)):
             self._report(inquiry, inquiry.inferred_start(), "inferred")
-        elif is_over or self._is_hopeless(inquiry):
+        elif is_over or self._is_certainly_unknown(inquiry):
             self._look_up(inquiry)
             if not inquiry.is_closed:
                 self._report(inquiry, None, "unknown")
         else:
             self._gather(inquiry)
 
-    def _is_hopeless(self, inquiry: OriginInquiry) -> bool:
+    def _is_certainly_unknown(self, inquiry: OriginInquiry) -> bool:
         """Whether nobody knows the stream, it is not recorded, and there were several versions."""
         is_read = self._stream_store.reads.read_at >= inquiry.began_at
         if not (is_read and inquiry.is_looked_up):
             return False
-        return self._is_heard_out(inquiry) and not self._is_inferable(inquiry)
+        return self._has_all_replies(inquiry) and not self._is_inferable(inquiry)
 
-    def _is_heard_out(self, inquiry: OriginInquiry) -> bool:
+    def _has_all_replies(self, inquiry: OriginInquiry) -> bool:
         """Whether all asked routers have replied, or no other router has been found for a while."""
         is_alone = not inquiry.unanswered and now() - inquiry.began_at >= _ASK_INTERVAL_S
         return inquiry.is_answered or is_alone
@@ -194,7 +194,7 @@
         at = now()
         is_delayed = at - inquiry.began_at >= _CHECK_INTERVAL_S
         if not self._is_inferable(inquiry):
-            if is_delayed or self._is_heard_out(inquiry):
+            if is_delayed or self._has_all_replies(inquiry):
                 self._read_streams(inquiry, at)
             return
         if is_delayed and not inquiry.is_answered:
@@ -207,7 +207,7 @@
         self._look_up(inquiry)
         if not inquiry.is_closed:
             self._stream_store.reads.request(max(inquiry.began_at, at - _REREAD_INTERVAL_S))
-        if self._is_hopeless(inquiry):
+        if self._is_certainly_unknown(inquiry):
             self._advance(inquiry)
 
     def _look_up(self, inquiry: OriginInquiry) -> None:
