Search recorded streams without comparing each key

When many streams of a mixed pool broke at once and no router knew them, each inquiry compared its key with every recorded one in Python: measured by the review, 15 ms at 64,000 keys and 106 ms at 460,000, so that 100 inquiries would hold up the event loop for longer than they may last.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -7,7 +7,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -101,13 +101,13 @@
 
     def find(self, keys: Collection[bytes]) -> list[StreamStart]:
         """Return those of the streams that any recorder had written at the last read."""
-        wanted = set(keys)
         return [
             StreamStart(key, pool, version)
             for known in self._row_by_key.values()
             for pool, keys_by_version in known.row.keys_by_version_by_pool.items()
             for version, joined in keys_by_version.items()
-            for key in wanted.intersection(_split(joined))
+            for key in keys
+            if _contains(joined, key)
         ]
 
     def clear(self) -> None:
@@ -215,10 +215,15 @@
     return msgspec.msgpack.encode(_StreamRow(keys_by_version_by_pool))
 
 
-def _split(joined: bytes) -> Iterator[bytes]:
-    """Return joined keys one by one.
+def _contains(joined: bytes, key: bytes) -> bool:
+    """Whether a key is among joined keys.
 
-    >>> list(_split(b"12345678abcdefgh"))
-    [b'12345678', b'abcdefgh']
+    The search of ``bytes`` is many times faster than a comparison of each key.
+
+    >>> _contains(b"12345678abcdefgh", b"abcdefgh"), _contains(b"12345678abcdefgh", b"5678abcd")
+    (True, False)
     """
-    return (joined[at : at + STREAM_KEY_BYTES] for at in range(0, len(joined), STREAM_KEY_BYTES))
+    at = joined.find(key) if len(key) == STREAM_KEY_BYTES else -1
+    while at % STREAM_KEY_BYTES and at >= 0:
+        at = joined.find(key, at + 1)
+    return at >= 0
