Confirm a copy only by rows that were adopted, and not in an outage

Found by the review. A confirmation whose answer came after another call had shown that the store was lost ended the outage without a full read, so that entries that had lapsed counted as removals. And a page whose handler failed moved the time at which the copy was confirmed, from which versions are inferred.

test_a_late_confirmation_does_not_end_an_outage and test_rows_whose_handler_failed_do_not_count_as_ confirmed failed before. The rows of a page whose handler failed are still not read again: a full read would fail on them for ever and hide all later ones.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -4,8 +4,9 @@
 which call the store themselves only if these messages do not arrive in time.
 """
 
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -168,7 +169,8 @@
     def _confirm_by(self, page: FeedPage, after: int, sent_at: float) -> bool:
         """Apply the changes since a revision; return whether the copy is up to date then."""
         revision = self._copy.revision
-        if revision is None:
+        if revision is None or self._is_store_down:
+            # The store was lost since then: only a full read tells lapsed entries from removals.
             return False
         self._apply_changes(page, sent_at)
         if self._peers.is_reader() and not page.is_empty:
@@ -215,11 +217,9 @@
         if isinstance(page, TableError):
             self._on_error(page)
             return
-        try:
+        with self._following():
             self._apply_read(page, sent_at)
-        finally:
-            # An error in the handler of the rows does not end the watch.
-            self._schedule_call(0.0)
+        self._schedule_call(0.0)
 
     def _apply_read(self, page: FeedPage, sent_at: float) -> bool:
         """Apply a full read unless the copy is newer; return whether it was applied."""
@@ -241,13 +241,23 @@
         if isinstance(page, TableError):
             self._on_error(page)
             return
-        try:
+        with self._following():
             self._apply_changes(page, sent_at)
-        finally:
-            self._schedule_call(0.0 if page.is_empty else self._rules.coalesce_s)
+        self._schedule_call(0.0 if page.is_empty else self._rules.coalesce_s)
         if self._peers.is_reader():
             self._publish(page, after)
 
+    @contextlib.contextmanager
+    def _following(self) -> Iterator[None]:
+        """Go on after an error in the handler of rows, which the copy is not confirmed by."""
+        confirmed_at = self._copy.confirmed_at
+        try:
+            yield
+        except Exception:
+            self._copy.confirmed_at = confirmed_at
+            self._next_call = self._timers.after(_MAX_RETRY_S, self._call_store)
+            raise
+
     def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
         self._record_answer()
         new = self._copy.apply_changes(page, sent_at)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -241,7 +241,8 @@
             read=lambda table, done: self.reads.append(done),
             changes=lambda table, after, wait_s, done: self.changes_calls.append(done),
         )
-        timers: Any = SimpleNamespace(after=lambda delay_s, callback: SimpleNamespace())
+        timer = SimpleNamespace(cancel=lambda: None)
+        timers: Any = SimpleNamespace(after=lambda delay_s, callback: timer)
         peers: Any = SimpleNamespace(is_reader=lambda: False)
         self.watch = TableWatch(
             feed,
@@ -285,6 +286,18 @@
     assert calls.confirmed == [False, True]
 
 
+def test_a_late_confirmation_does_not_end_an_outage(monkeypatch):
+    """Entries that had lapsed in the outage were taken for removals, as no full read followed."""
+    calls = Calls(monkeypatch)
+    calls.reads[0](page_of(5))
+    calls.confirm()
+    calls.watch._call_store()
+    calls.changes_calls[1](TableError("the store is away", "wait"))
+    calls.changes_calls[0](page_of(6))
+    assert calls.confirmed == [False]
+    assert calls.watch.is_store_down
+
+
 @pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0, 15.0])
 def test_a_change_is_detected_in_time_if_a_response_is_lost(bound_s):
     """Guards against late detection of a change after a lost response.
@@ -305,3 +318,16 @@
         with contextlib.suppress(RuntimeError):
             fleet.clock.run_until(fleet.clock.now + 2.0)
     assert fleet.put("c") < 2.0
+
+
+def test_rows_whose_handler_failed_do_not_count_as_confirmed(monkeypatch):
+    """A version was inferred from targets that had been read but not adopted."""
+    fleet = Fleet(monkeypatch, routers=1, readers=1)
+    fleet.failing_key = "a"
+    fleet.clock.run_until(fleet.clock.now + 1.0)
+    [watch] = fleet.watch_by_name.values()
+    confirmed_at = watch.confirmed_at
+    fleet.store.put("a")
+    with pytest.raises(RuntimeError):
+        fleet.clock.run_until(fleet.clock.now + 2.0)
+    assert watch.confirmed_at == confirmed_at
