Let a resumption wait anew when its target breaks off before an event

A resumption whose target crashed before its first event kept the time until which it could wait for a target from its arrival, and was refused at once if that had passed meanwhile. The time is renewed at the break now, as for a stream that had gone on.

test_a_resumption_whose_target_breaks_off_before_an_event_waits_anew failed before. The case of a target that is busy for 0.6 s in test_silent_streams guards again: with the renewal taken out of the question, the silent target is kept.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -249,11 +249,11 @@
             self._fail(self._relayed_request.final_failure(text, retry_after_s))
 
     def _expect_next_event(self) -> None:
-        """Set the times for the next event, if the caller has been sent a part of the stream."""
-        if self._relayed_request.head_relayed:
-            interval_s = self._relayed_request.route.target_event_interval_s
-            self.waiting_request.response_due_at = now() + interval_s
-            self.waiting_request.resume_by = now() + RESUMPTION_WAIT_S
+        """Set the times for the next event, if the caller has a part of the stream."""
+        request, waiting = self._relayed_request, self.waiting_request
+        if request.head_relayed or waiting.resumes_stream:
+            waiting.response_due_at = now() + request.route.target_event_interval_s
+            waiting.resume_by = now() + RESUMPTION_WAIT_S
 
     def _may_retry(self, end: SendEnd) -> bool:
         """Whether the request may be sent to another target after a failed send.
@@ -352,9 +352,8 @@
     def _on_deadline(self) -> None:
         if self._is_finished:
             return
-        in_flight = self._cancel_attempt()
         retry_after_s = self.pool.admission.retry_after_s(now())
-        self._fail(self._relayed_request.deadline_failure(in_flight, retry_after_s))
+        self._fail(self._relayed_request.deadline_failure(self._cancel_attempt(), retry_after_s))
 
     def _on_caller_left(self) -> None:
         if not self._is_finished:
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_silent_streams.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_silent_streams.py
@@ -110,14 +110,21 @@
         self.loads.record_end(OTHER.id, "before")
         self.loads.record_sent(OTHER.id, "beside", pending_tokens, self.now)
 
-    def begin_stream(self):
-        waiting = WaitingRequest("1", "org", SIZE, self.now, self.now + 1.0, self.now + 20.0)
+    def begin(self, **fields):
+        """Begin a request at the first target."""
+        waiting = WaitingRequest(
+            "1", "org", SIZE, self.now, self.now + 1.0, self.now + 20.0, **fields
+        )
         request: Any = SimpleNamespace(id="q", last_event_id=None, resumes=None)
         pools: Any = SimpleNamespace(ensure_polling=lambda: None)
         caller: Any = self.caller
         RelayCall(
             self.context(), pools, self.pool(), caller, request, ROUTE, waiting, lambda call: None
         ).begin()
+        return waiting
+
+    def begin_stream(self):
+        self.begin()
         [attempt] = self.client.attempts
         attempt.on_head(200, [])
         attempt.on_data(b"id: 0\ndata: x\n\n")
@@ -164,6 +171,9 @@
         pytest.param(
             3_000, [SILENT.address, OTHER.address], id="the other target is busy for 0.3 s"
         ),
+        pytest.param(
+            6_000, [SILENT.address, OTHER.address], id="the other target is busy for 0.6 s"
+        ),
         pytest.param(20_000, [SILENT.address], id="the other target is busy for 2 s"),
     ],
 )
@@ -175,3 +185,12 @@
     scene.timers.run_until(scene.now + 2.5)
     assert not scene.caller.is_cut
     assert scene.client.addresses == addresses
+
+
+def test_a_resumption_whose_target_breaks_off_before_an_event_waits_anew(monkeypatch):
+    """The time until which it could wait had passed while its target was at work."""
+    scene = Scene(monkeypatch, 0)
+    waiting = scene.begin(resume_by=scene.now + 1.5, required_version="v1")
+    scene.now += 1.6
+    scene.client.attempts[-1].on_failed(True, "reset")
+    assert waiting.resume_by == pytest.approx(scene.now + 1.5)
