--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -6,6 +6,7 @@
 refused as soon as no target can start it in time.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import InitVar, dataclass, field
 
@@ -117,21 +118,22 @@
         """Return the decisions that are due for queued requests.
 
         Only the first few in the queue are tried, so that a long queue does not keep the router
-        from relaying; streams to go on with are counted apart from other requests, as they may
-        wait for targets of one version only. The rest are only refused if it is too late for them.
+        from relaying. Streams to go on with are counted apart, by version, as they may wait for its
+        targets only. The rest are only refused if it is too late for them.
         """
         if not self._waiting_by_id:
             return []
         decisions: list[Decision] = []
-        attempts = {True: 0, False: 0}
+        attempts_by_version: Counter[str | None] = Counter()
         max_attempts = max(
             _MIN_ATTEMPTS_PER_POLL, _MAX_TARGET_CHECKS_PER_POLL // max(1, len(self.targets))
         )
         for request in sorted(self._waiting_by_id.values(), key=self._queue_key):
             decision: Decision | None = None
-            if attempts[request.resumes_stream] < max_attempts:
+            version = request.required_version
+            if attempts_by_version[version] < max_attempts:
                 decision = self._decide(request, now)
-                attempts[request.resumes_stream] += decision is None
+                attempts_by_version[version] += decision is None
             elif now >= (request.resume_by or request.response_due_at):
                 decision = self._refuse(request, _NOT_IN_TIME, now)
             if decision is not None:
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
@@ -136,6 +136,21 @@
     assert [(d.request.id, d.target.id) for d in placed] == [("new", "t1")]
 
 
+def test_a_stream_does_not_wait_behind_those_of_another_version():
+    """All streams shared one number of attempts per poll, which those of a full version used up."""
+    play = Play(["v1", "v2"])
+    for target in ("t0", "t1"):
+        for n in range(2 * SLOTS):
+            play.loads.record_sent(target, f"running{n}", 0, 0.0)
+    streams = [new_request(f"s{n}", 0.0, "v1") for n in range(200)]
+    streams.append(new_request("other", 0.1, "v2"))
+    assert all(play.pool.submit(stream, 0.0) is None for stream in streams)
+    for n in range(2 * SLOTS):
+        play.loads.record_end("t1", f"running{n}")
+    placed = [d for d in play.pool.poll(0.2) if isinstance(d, Placed)]
+    assert [(d.request.id, d.target.id) for d in placed] == [("other", "t1")]
+
+
 @pytest.mark.parametrize(("at", "decided"), [(1.4, 0), (1.5, 1)])
 def test_a_stream_waits_for_its_version_until_its_caller_would_leave(at, decided):
     play = Play(["v1"])
