Give only streams that the fleet knows the place of admitted work

Whatever came with the number of a last event counted as the rest of an admitted stream, went first and was not held to the share of its organisation. A caller could claim that by any number.

Now only a stream that a router has begun, as this router did itself, was told or has read, is taken for admitted work. Others keep the longer wait, within the limits of their organisation and in its order.

Not mended: a caller may resume one known stream many times.

--- a/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/pool_admission.py
@@ -270,7 +270,7 @@
         return Refused(request, reason, self._retry_after_s(permitted, now))
 
     def _queue_key(self, request: WaitingRequest) -> tuple[bool, float, bool, float]:
-        """Return the key of the queue's order: streams to go on with first."""
+        """Return the key of the queue's order: the rest of admitted streams first."""
         share_ratio = round(self.usage.share_ratio(request.organisation), 1)
         is_overdue = request.response_due_at <= request.arrived_at
-        return not request.resumes_stream, share_ratio, is_overdue, request.response_due_at
+        return not request.was_admitted, share_ratio, is_overdue, request.response_due_at
--- a/packages/parsleyrudder/parsleyrudder/admission/requests.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/requests.py
@@ -54,6 +54,8 @@
     :ivar resume_by: for a request that goes on with a stream, time by which a target must take it,
         or it is refused; None for a request that begins a response, which is refused once the
         response can't begin on time.
+    :ivar was_admitted: whether the fleet knows that it has begun this stream, so that the request
+        is the rest of admitted work; a caller may name a stream that never began.
     :ivar excluded_target_ids: ids of the targets that have failed this request.
     """
 
@@ -69,9 +71,10 @@
     stream_id: str = ""
     required_version: str | None = None
     resume_by: float | None = None
+    was_admitted: bool = False
     excluded_target_ids: set[str] = field(default_factory=set)
 
     @property
     def resumes_stream(self) -> bool:
-        """Whether the caller has a part of the stream, and asks for the rest."""
+        """Whether the request is for the rest of a stream."""
         return self.resume_by is not None
--- a/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
@@ -124,11 +124,11 @@
         same demand; beyond that, requests get only slots that would stay free. If no other
         organisation has unmet demand, no slots are reserved and the full limits apply.
 
-        A stream that has begun is to be completed, whatever its organisation has used: otherwise
+        A stream that was admitted is to be completed, whatever its organisation has used: otherwise
         the work that was done for it is lost, and its caller begins it anew.
         """
         rules = self.rules
-        if request.resumes_stream:
+        if request.was_admitted:
             return rules.resumption_slots_fraction, rules.resumption_wait_factor
         if not request.size.prompt_tokens or self.usage.share_ratio(request.organisation) < 1.0:
             return rules.slots_fraction, 1.0
@@ -225,7 +225,7 @@
         self, request: WaitingRequest, usable: list[Target], now: float
     ) -> frozenset[str]:
         """Return the targets for long prompts; none for a stream, which may go to few targets."""
-        if request.resumes_stream:
+        if request.was_admitted:
             return frozenset()
         return self.long_prompt_targets.select([target.id for target in usable], now)
 
@@ -238,7 +238,7 @@
     ) -> bool:
         """Whether the prefill of a prompt would not slow too many streams at a target."""
         if (
-            request.resumes_stream
+            request.was_admitted
             or target.id in long_prompt_ids
             or not self.long_prompt_targets.is_long(uncached_tokens)
         ):
--- a/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/tests/test_resumed_streams.py
@@ -45,6 +45,7 @@
         at + 15.0,
         required_version=version,
         resume_by=at + RESUMPTION_WAIT_S if version else None,
+        was_admitted=version is not None,
     )
 
 
@@ -151,6 +152,24 @@
     assert [(d.request.id, d.target.id) for d in placed] == [("other", "t1")]
 
 
+def test_streams_that_the_fleet_does_not_know_get_no_more_than_new_requests():
+    """One organisation's callers named streams that never began, and another's were refused."""
+    interval_s = PROMPT_TOKENS / (RATE * 4) / 3.0
+    requests = []
+    for n in range(int(LENGTH_S / interval_s)):
+        claimed = new_request(f"claimed{n}", n * interval_s, "v1")
+        claimed.organisation, claimed.was_admitted = "large", False
+        requests.append((n * interval_s, claimed))
+        if n % 6 == 0:
+            small = new_request(f"small{n}", n * interval_s)
+            small.organisation = "small"
+            requests.append((n * interval_s, small))
+    play = Play(["v1"] * 4)
+    play.run(requests)
+    small_ids = {request.id for _, request in requests if request.organisation == "small"}
+    assert len(small_ids & play.begun) >= 0.9 * len(small_ids)
+
+
 @pytest.mark.parametrize(("at", "decided"), [(1.4, 0), (1.5, 1)])
 def test_a_stream_waits_for_its_version_until_its_caller_would_leave(at, decided):
     play = Play(["v1"])
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -187,6 +187,7 @@
             stream_id=accepted.stream_id,
             required_version=required_version,
             resume_by=resume_by,
+            was_admitted=accepted.is_resumption and self._origins.knows(request.resumes),
         )
         call = RelayCall(
             self._context,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -144,6 +144,13 @@
             return
         self._inquiries.begin(key, pool, callback)
 
+    def knows(self, request: str | None) -> bool:
+        """Whether a router of the fleet has begun the stream, as far as this one was told or read.
+
+        :param request: see :meth:`find`.
+        """
+        return request is not None and self._origins.find(stream_key(request)) is not None
+
     def _unnamed_key(self) -> bytes:
         """Return a key for one caller that names no stream; no stream and no other caller has it.
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -254,6 +254,7 @@
         if request.head_relayed or waiting.resumes_stream:
             waiting.response_due_at = now() + request.route.target_event_interval_s
             waiting.resume_by = now() + RESUMPTION_WAIT_S
+        waiting.was_admitted |= request.head_relayed
 
     def _may_retry(self, end: SendEnd) -> bool:
         """Whether the request may be sent to another target after a failed send.
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_moved_routes.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_moved_routes.py
@@ -42,7 +42,9 @@
         load_shedder=LoadShedder(),
         metrics=Metrics(),
     )
-    origins: Any = SimpleNamespace(find=lambda resumes, pool, callback: callback(START))
+    origins: Any = SimpleNamespace(
+        find=lambda resumes, pool, callback: callback(START), knows=lambda resumes: True
+    )
     api = RelayApi(context, origins, random.Random(1), lambda: None)
     monkeypatch.setattr(api.pools, "get", lambda name: SimpleNamespace(name=name))
     received = SimpleNamespace(method="POST", target="/", body=b"")
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
@@ -54,7 +54,9 @@
         load_shedder=LoadShedder(),
         metrics=Metrics(),
     )
-    origins: Any = SimpleNamespace(find=lambda resumes, pool, callback: callback(START))
+    origins: Any = SimpleNamespace(
+        find=lambda resumes, pool, callback: callback(START), knows=lambda resumes: resumes == "a"
+    )
     api = RelayApi(context, origins, random.Random(1), lambda: None)
     monkeypatch.setattr(api.pools, "get", lambda name: SimpleNamespace(name=name))
     for decoded in requests:
@@ -80,6 +82,7 @@
     _, submitted = relayed(monkeypatch, [first, again])
     assert submitted.response_due_at == pytest.approx(NOW + due_in_s)
     assert submitted.resume_by == (NOW + wait_s if wait_s else None)
+    assert submitted.was_admitted == (version is not None)
     assert submitted.required_version == version
 
 
@@ -94,3 +97,11 @@
     other = DecodedRequest("b", host, "/", "", 15.0, RequestSize())
     _, submitted = relayed(monkeypatch, [patient, other])
     assert submitted.response_due_at == pytest.approx(NOW + 0.8)
+
+
+def test_a_stream_that_no_router_knows_does_not_count_as_admitted(monkeypatch):
+    """Any request could claim the place of a stream that was admitted, by an invented id."""
+    invented = DecodedRequest("b", "h", "/", "", 12.0, RequestSize(), 7, "invented")
+    [submitted] = relayed(monkeypatch, [invented])
+    assert submitted.resumes_stream
+    assert not submitted.was_admitted
