--- a/packages/parsleyrudder/parsleyrudder/admission/admission_rules.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/admission_rules.py
@@ -23,7 +23,7 @@
         fair share of the observed usage.
     :ivar excess_wait_factor: as ``over_share_wait_factor``, for an organisation exactly at its fair
         share of the observed usage; the factor decreases above that.
-    :ivar resumption_slots_fraction: as ``slots_fraction``, for requests that go on with a stream.
+    :ivar resumption_slots_fraction: as ``slots_fraction``, for the rest of admitted streams.
         It is above 1, because the runs of a router that has died count until its last report
         expires, and the streams that are resumed then are these runs.
     :ivar resumption_wait_factor: factor on the allowed wait for these requests. It is above 1, so
