--- a/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
+++ b/packages/parsleyrudder/parsleyrudder/admission/target_selection.py
@@ -224,7 +224,7 @@
     def _long_prompt_ids(
         self, request: WaitingRequest, usable: list[Target], now: float
     ) -> frozenset[str]:
-        """Return the targets for long prompts; none for an admitted stream, which has few targets."""
+        """Return the targets for long prompts; none for admitted streams, which have few."""
         if request.was_admitted:
             return frozenset()
         return self.long_prompt_targets.select([target.id for target in usable], now)
