--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,116 @@
+"""The store comes back from a copy; some routers keep a manifest that is no longer in force."""
+
+import asyncio
+import os
+import time
+from pathlib import Path
+
+from lib.fleet import CannotRun, Fleet, attempt_id, free_host, run_case, trouble
+from lib.http1 import call
+from lib.platform_store import Store
+from lib.servers import PlainServer
+
+HOST = "ficu95.example"
+TENANTS = {"hule930": "asnmgkcuyj8pjbvk9m68", "kafo112": "p3kd8x0a7rmw2vtq5nhz"}
+REVOKED = "kafo112"
+REVOKE_S = 5.0  # bound revoke_ms of the deployments
+CONTACT_S = 3.0  # bound contact_ms
+AWAY_S = float(os.environ.get("AWAY_S", "0.4"))  # "away for a moment"
+COPY_AGE_S = float(os.environ.get("COPY_AGE_S", "2.0"))  # "a copy some seconds old"
+SETTLE_S = 4.0
+ROUTERS = 7
+ZONES = ("recife", "fortaleza", "salvador")
+
+
+def manifest(version, keys):
+    common = {"host": HOST, "service": "pedidos", "timeout_ms": 800, "target_latency_ms": 100}
+    return {
+        "version": version,
+        "routes": [
+            {"name": "r1", "prefix": "/puxa403/", "route_type": "unsafe", "max_attempts": 1}
+            | common,
+        ],
+        "services": [{"name": "pedidos", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 10000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": name, "api_keys": list(keys.get(name, ()))} for name in TENANTS],
+    }
+
+
+async def main(record):
+    store = Store()
+    hosts = set()
+    await store.start(free_host(hosts))
+    keys = {name: [key] for name, key in TENANTS.items()}
+    await store.write("op", "config", manifest(3, keys))
+    servers = []
+    for number in range(8):
+        zone = ZONES[number % 3]
+        server = PlainServer(record, store, f"i-{number:x}4a91c{number}", "pedidos", zone)
+        await server.begin(free_host(hosts))
+        await asyncio.sleep(0.1)  # so that their heartbeats are spread over the interval
+        servers.append(server)
+
+    async def send(router, tenant):
+        id = attempt_id()
+        headers = [
+            ("Host", HOST),
+            ("X-Attempt-Id", id),
+            ("X-Deadline-Ms", "1500"),
+            ("Authorization", f"Bearer {TENANTS[tenant]}"),
+        ]
+        record(f"client sends {id} to {router.name} with the key of {tenant}")
+        status, _, _ = await call(router.address, "POST", "/puxa403/2f", headers, b"{}")
+        ran = any(id == run[1] for server in servers for run in server.runs)
+        record(f"client got {status or 'no answer'} for {id}; {'ran' if ran else 'did not run'}")
+        return status, ran
+
+    with Fleet(ROUTERS) as fleet:
+        await fleet.start(store.address)
+        await asyncio.sleep(SETTLE_S)
+        for router in fleet.routers:
+            status, ran = await send(router, REVOKED)
+            if status != 200:
+                raise CannotRun(f"a request with a valid key got {status} from {router.name}")
+        change = None
+        del keys[REVOKED]
+        if trouble():
+            drill = asyncio.create_task(store.drill(AWAY_S, COPY_AGE_S))
+            await asyncio.sleep(AWAY_S / 2)
+            # The operator and the servers write again as soon as the store is back.
+            change = asyncio.create_task(store.write("op", "config", manifest(7, keys)))
+            await asyncio.sleep(0)
+            rewrites = [asyncio.create_task(server.register()) for server in servers]
+            before, copy = await drill
+            record.say(f"the store was at version {before}, came back at {copy} as era {store.era}")
+            acked_at = await change
+            await asyncio.gather(*rewrites)
+            record.say(f"the servers wrote their entries again: version {store.revision}")
+        else:
+            acked_at = await store.write("op", "config", manifest(7, keys))
+        record.say(f"manifest 7 acknowledged: it takes the key of {REVOKED} away")
+        await asyncio.sleep(max(REVOKE_S, CONTACT_S) + 1.0)
+        stale = set()
+        ends_at = time.monotonic() + 12.0
+        while time.monotonic() < ends_at:
+            for router in fleet.routers:
+                _, ran = await send(router, REVOKED)
+                if ran:
+                    stale.add(router.name)
+            await asyncio.sleep(0.5)
+        for router in fleet.routers:
+            for line in router.log_lines("config_in_force") + router.log_lines("store_"):
+                record(f"log of {router.name}: {line[:160]}")
+        late_s = time.monotonic() - acked_at
+        record.say(f"reads that the store refused with 410: {store.refused_reads}")
+        record.say(f"routers that ran the revoked key 6 to {late_s:.0f} s after the ack: {sorted(stale)}")
+    for server in servers:
+        server.end()
+    return bool(stale)
+
+
+run_case(Path(__file__).parent, main)
