--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
 """The store comes back from a copy; some routers keep a manifest that is no longer in force."""
 
 import asyncio
-import os
 import time
 from pathlib import Path
 
@@ -15,8 +14,8 @@
 REVOKED = "kafo112"
 REVOKE_S = 5.0  # bound revoke_ms of the deployments
 CONTACT_S = 3.0  # bound contact_ms
-AWAY_S = float(os.environ.get("AWAY_S", "0.4"))  # "away for a moment"
-COPY_AGE_S = float(os.environ.get("COPY_AGE_S", "3.0"))  # "a copy some seconds old"
+AWAY_S = 0.2  # "away for a moment"
+MAX_COPY_AGE_S = 5.0  # "a copy some seconds old"
 SETTLE_S = 4.0
 ROUTERS = 7
 ZONES = ("recife", "fortaleza", "salvador")
@@ -86,7 +85,12 @@
         del keys[REVOKED]
         change = manifest(7, keys)
         if trouble():
-            drill = asyncio.create_task(store.drill(AWAY_S, COPY_AGE_S))
+            written_at = [at for at, table, *_ in store.log if table == "routers"][-1]
+            copy_age_s = time.monotonic() - written_at + 0.3
+            if copy_age_s > MAX_COPY_AGE_S:
+                raise CannotRun("the copy would be too old")
+            record.say(f"the store is away for {AWAY_S} s; its copy is {copy_age_s:.1f} s old")
+            drill = asyncio.create_task(store.drill(AWAY_S, copy_age_s))
             await asyncio.sleep(AWAY_S / 2)
             # The operator's call is refused, and repeated until the store takes it.
             pending = asyncio.create_task(store.write("op", "config", change))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
 """A server answers early, without a length, and the answer is reset on the way."""
 
 import asyncio
-import os
 import socket
 import struct
 import time
@@ -15,7 +14,7 @@
 HOST = "ficu95.example"
 KEY = "asnmgkcuyj8pjbvk9m68"
 MAX_BODY_BYTES = 4194304
-BODY_BYTES = int(os.environ.get("BODY_BYTES", str(MAX_BODY_BYTES)))
+BODY_BYTES = MAX_BODY_BYTES
 ANSWER = b"0123456789abcdef" * 50  # 800 B out, as on the sheet
 REQUESTS = 120
 # `answer_lost` with how = reset in the days of the site file: on a share of .6 of the servers (of
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -230,7 +230,7 @@
     record.say(f"trouble: {'yes' if trouble() else 'no'}")
     try:
         is_broken = asyncio.run(asyncio.wait_for(main(record), 115))
-    except (CannotRun, OSError, TimeoutError) as error:
+    except Exception as error:  # nothing but a broken rule may exit with 1
         record.say(f"the case could not run: {type(error).__name__} {error}")
         sys.exit(2)
     record.say("RULE BROKEN" if is_broken else "the rule held")
