Tell revisions of the store apart by their era

Cause: revisions are given out again after such a return, and FeedCopy compared bare ones, in the answers of the store and in the news of other routers. A router that held revision 23 of the lost state asked for what came after 23 and got nothing, although 23 now was the new configuration.

Change: each page and all news name the era. A copy of an earlier era is read again as a whole; what is of an earlier era than the copy is ignored; a read of pages of two eras begins again. On the same path: a target that is known to leave or to be gone is not brought back by its older row; rows of routers, quarantines, versions and streams that the store has lost are written again.

--- a/packages/parsleyrudder/parsleyrudder/feeds.py
+++ b/packages/parsleyrudder/parsleyrudder/feeds.py
@@ -28,12 +28,15 @@
     :ivar removed: revisions of the removals, by the key of the removed row.
     :ivar revision: revision up to which the page is complete.
     :ivar store_time_s: monotonic time of the store when it responded.
+    :ivar era: number that rises each time the store comes back from an older copy and gives out
+        revisions again; revisions of different eras are not comparable.
     """
 
     rows: list[Row]
     removed: dict[str, int]
     revision: int
     store_time_s: float
+    era: int = 0
 
     @property
     def is_empty(self) -> bool:
@@ -47,6 +50,7 @@
             {key: at for key, at in self.removed.items() if at > revision},
             self.revision,
             self.store_time_s,
+            self.era,
         )
 
 
@@ -129,29 +133,44 @@
     a router whose copy has become too old reads from the store itself.
 
     :ivar revision: revision up to which the copy is complete; None if a full read is needed.
+    :ivar era: era of the store in which the copy was last read as a whole.
     :ivar confirmed_at: local time at which the copy was known to be up to date.
     """
 
     revision: int | None = None
     confirmed_at: float = float("-inf")
+    era: int = 0
     _clock: StoreClock = field(default_factory=StoreClock)
 
+    def is_newer_than(self, page: FeedPage) -> bool:
+        """Whether the copy holds a later state of the table than a full read."""
+        return self.revision is not None and (page.era, page.revision) < (self.era, self.revision)
+
     def apply_read(self, page: FeedPage, sent_at: float) -> None:
         """Apply a full read of the table.
 
         :param sent_at: local time at which the request was sent.
         """
+        if page.era != self.era:
+            # The store may have another clock in each era.
+            self._clock = StoreClock()
+        self.era = page.era
         self.revision = page.revision
         self.confirmed_at = self._clock.observe_response(sent_at, page.store_time_s)
 
-    def apply_changes(self, page: FeedPage, sent_at: float) -> FeedPage:
+    def apply_changes(self, page: FeedPage, sent_at: float) -> FeedPage | None:
         """Apply the response to a request for changes; return the changes that are new.
 
         News may have advanced the copy since the request was sent.
 
         :param sent_at: local time at which the request was sent.
+        :returns: None if the whole table has to be read, as the store has come back from a copy.
         """
+        if not self._may_follow(page.era):
+            return None
         assert self.revision is not None
+        if page.era < self.era:
+            return self._without_changes(page.store_time_s)
         new = page.newer_than(self.revision)
         confirmed_at = self._clock.observe_response(sent_at, page.store_time_s)
         if page.revision >= self.revision:
@@ -165,19 +184,30 @@
         :param now: local time at which the news arrived.
         :returns: None if changes are missing, so that they have to be read from the store.
         """
-        if self.revision is None:
+        if not self._may_follow(news.era):
             return None
-        if news.revision < self.revision:
-            return FeedPage([], {}, self.revision, news.store_time_s)
+        assert self.revision is not None
+        if (news.era, news.revision) < (self.era, self.revision):
+            return self._without_changes(news.store_time_s)
         if news.revision > self.revision and (
             news.after > self.revision or not news.includes_changes
         ):
             return None
         rows = [Row(row.key, row.value, row.revision) for row in news.rows]
-        page = FeedPage(rows, dict(news.removed), news.revision, news.store_time_s)
+        page = FeedPage(rows, dict(news.removed), news.revision, news.store_time_s, news.era)
         new = page.newer_than(self.revision)
         self.revision = news.revision
         # News from before a restart of the store could otherwise map to a time in the future.
         known_at = min(now, self._clock.to_local_time(news.store_time_s))
         self.confirmed_at = max(self.confirmed_at, known_at)
         return new
+
+    def _may_follow(self, era: int) -> bool:
+        """Whether changes of an era may follow the copy; if the era is new, they never will."""
+        if era > self.era:
+            self.revision = None
+        return self.revision is not None
+
+    def _without_changes(self, store_time_s: float) -> FeedPage:
+        assert self.revision is not None
+        return FeedPage([], {}, self.revision, store_time_s, self.era)
--- a/packages/parsleyrudder/parsleyrudder/relay_messages.py
+++ b/packages/parsleyrudder/parsleyrudder/relay_messages.py
@@ -191,6 +191,7 @@
     :ivar includes_changes: whether the message contains the changes; large ones are not forwarded
         but read from the store by each router.
     :ivar removed: revisions of the removals, by the key of the removed row.
+    :ivar era: era of the store's revisions; see :class:`FeedPage`.
     """
 
     table: str
@@ -200,6 +201,7 @@
     includes_changes: bool = True
     rows: tuple[ChangedRow, ...] = ()
     removed: dict[str, int] = {}
+    era: int = 0
 
 
 class StreamStart(MessagePart, frozen=True):
--- a/packages/parsleyrudder/parsleyrudder/targets.py
+++ b/packages/parsleyrudder/parsleyrudder/targets.py
@@ -1,7 +1,7 @@
 """Directory of targets, built from the entries that the targets register in the store."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 __all__ = ["Target", "TargetDirectory"]
 
@@ -34,6 +34,12 @@
         object.__setattr__(self, "lifetime", f"{self.id}/{self.started_ms}")
 
 
+@dataclass(slots=True, frozen=True)
+class _WithheldTarget:
+    target: Target
+    until: float
+
+
 @dataclass(slots=True)
 class TargetDirectory:
     """Known targets by id.
@@ -42,12 +48,21 @@
     read after an outage is therefore retained for a limited time; one that disappears while the
     store is available is removed at once.
 
-    :param lapsed_retention_s: time for which an entry that lapsed in an outage is retained.
+    After an outage the store may also hold an older copy until the targets have written their
+    entries again. In that time a lifetime that was known to leave goes on leaving, and one whose
+    entry was removed is withheld.
+
+    :param rewrite_s: time after an outage within which targets write their entries again.
+    :param removal_memory_s: time for which removals are remembered: the age of the oldest copy that
+        the store may come back from.
     """
 
-    lapsed_retention_s: float = 2.0
+    rewrite_s: float = 2.0
+    removal_memory_s: float = 30.0
     by_id: dict[str, Target] = field(default_factory=dict)
     _lapsed_until_by_id: dict[str, float] = field(default_factory=dict)
+    _withheld_by_id: dict[str, _WithheldTarget] = field(default_factory=dict)
+    _removed_at_by_lifetime: dict[str, float] = field(default_factory=dict)
 
     def replace_all(self, targets: Iterable[Target], after_outage: bool, now: float) -> None:
         """Replace the entries by those of a full read of the store.
@@ -55,36 +70,67 @@
         :param after_outage: whether the store was unavailable just before this read.
         """
         fresh = {target.id: target for target in targets}
+        self._withheld_by_id = {id: w for id, w in self._withheld_by_id.items() if id in fresh}
+        if after_outage:
+            self._withhold_removed(fresh, now)
+            fresh = {id: self._keep_leaving(target) for id, target in fresh.items()}
+        for id in self._withheld_by_id:
+            del fresh[id]
         for id in fresh:
             self._lapsed_until_by_id.pop(id, None)
         for id, target in self.by_id.items():
             if id in fresh:
                 continue
             if after_outage and not target.is_leaving:
-                self._lapsed_until_by_id.setdefault(id, now + self.lapsed_retention_s)
+                self._lapsed_until_by_id.setdefault(id, now + self.rewrite_s)
             if id in self._lapsed_until_by_id:
                 fresh[id] = target
+            else:
+                self._removed_at_by_lifetime[target.lifetime] = now
         self.by_id = fresh
         self._lapsed_until_by_id = {
             id: until for id, until in self._lapsed_until_by_id.items() if id in fresh
         }
         self.expire(now)
 
+    def _withhold_removed(self, fresh: dict[str, Target], now: float) -> None:
+        for id, target in fresh.items():
+            if target.lifetime in self._removed_at_by_lifetime and id not in self._withheld_by_id:
+                self._withheld_by_id[id] = _WithheldTarget(target, now + self.rewrite_s)
+
+    def _keep_leaving(self, target: Target) -> Target:
+        """Return the target as read, but leaving if it was known to leave in the same lifetime."""
+        known = self.by_id.get(target.id)
+        is_leaving = known is not None and known.is_leaving and known.lifetime == target.lifetime
+        return replace(target, is_leaving=True) if is_leaving else target
+
     def put(self, target: Target) -> None:
         """Add or update an entry."""
         self._lapsed_until_by_id.pop(target.id, None)
+        self._withheld_by_id.pop(target.id, None)
+        self._removed_at_by_lifetime.pop(target.lifetime, None)
         self.by_id[target.id] = target
 
-    def remove(self, id: str) -> None:
+    def remove(self, id: str, now: float) -> None:
         """Remove an entry."""
         self._lapsed_until_by_id.pop(id, None)
-        self.by_id.pop(id, None)
+        self._withheld_by_id.pop(id, None)
+        target = self.by_id.pop(id, None)
+        if target is not None:
+            self._removed_at_by_lifetime[target.lifetime] = now
 
     def expire(self, now: float) -> None:
-        """Remove the lapsed entries whose retention time is over."""
+        """Remove the lapsed entries whose time is over, and add those that are withheld no more."""
         for id in [id for id, until in self._lapsed_until_by_id.items() if until <= now]:
             del self._lapsed_until_by_id[id]
             self.by_id.pop(id, None)
+        for id in [id for id, withheld in self._withheld_by_id.items() if withheld.until <= now]:
+            self.put(self._withheld_by_id[id].target)
+        self._removed_at_by_lifetime = {
+            lifetime: at
+            for lifetime, at in self._removed_at_by_lifetime.items()
+            if now - at < self.removal_memory_s
+        }
 
     def in_pool(self, pool: str) -> list[Target]:
         """Return the targets of a pool that may get new requests, sorted by id."""
--- a/packages/parsleyrudder/parsleyrudder/tests/test_feeds.py
+++ b/packages/parsleyrudder/parsleyrudder/tests/test_feeds.py
@@ -1,5 +1,8 @@
 """Conversion of the store's time to local time, and table copies updated by other routers."""
 
+import dataclasses
+
+import msgspec
 import pytest
 from parsleyrudder import ChangedRow, FeedCopy, FeedPage, Row, StoreClock, TableNews
 
@@ -90,3 +93,46 @@
 
 def test_news_does_not_complete_a_copy_that_was_never_read():
     assert FeedCopy().apply_news(news(0, 7, ("a", 6)), now=100.0) is None
+
+
+def in_era(era, update):
+    """Return a page or news as if it were of another era."""
+    if isinstance(update, TableNews):
+        return msgspec.structs.replace(update, era=era)
+    return dataclasses.replace(update, era=era)
+
+
+@pytest.mark.parametrize(
+    ("apply", "update"),
+    [
+        pytest.param("apply_changes", page(5), id="same-revision"),
+        pytest.param("apply_changes", page(8, ("a", 7)), id="later-changes"),
+        pytest.param("apply_news", news(5, 5), id="news-of-the-same-revision"),
+        pytest.param("apply_news", news(5, 7, ("a", 6)), id="next-news"),
+        pytest.param("apply_news", news(2, 3, ("a", 3)), id="news-of-a-lower-revision"),
+    ],
+)
+def test_a_copy_of_an_earlier_era_has_to_be_read_again(apply, update):
+    """Revisions that the store gave out twice hid a configuration from routers for good."""
+    copy = copy_at(5)
+    confirmed_at = copy.confirmed_at
+    assert getattr(copy, apply)(in_era(1, update), 150.0) is None
+    assert copy.revision is None
+    assert copy.confirmed_at == confirmed_at
+    copy.apply_read(in_era(1, page(6)), sent_at=160.0)
+    assert (copy.era, copy.revision, copy.confirmed_at) == (1, 6, 160.0)
+
+
+@pytest.mark.parametrize(
+    ("apply", "update"),
+    [("apply_changes", page(9, ("a", 9))), ("apply_news", news(5, 9, ("a", 9)))],
+    ids=["changes", "news"],
+)
+def test_what_was_read_before_the_store_came_back_from_a_copy_changes_nothing(apply, update):
+    """A late message brought back rows that the store no longer holds."""
+    copy = FeedCopy()
+    copy.apply_read(in_era(2, page(5)), sent_at=100.0)
+    assert getattr(copy, apply)(in_era(1, update), 150.0).is_empty
+    assert (copy.revision, copy.confirmed_at) == (5, 100.0)
+    assert copy.is_newer_than(in_era(1, page(9)))
+    assert not copy.is_newer_than(in_era(3, page(1)))
--- a/packages/parsleyrudder/parsleyrudder/tests/test_targets.py
+++ b/packages/parsleyrudder/parsleyrudder/tests/test_targets.py
@@ -21,7 +21,7 @@
     after_outage, leaving, at, listed
 ):
     """Entries lapse while the store is down; at other times a missing entry means a removal."""
-    directory = TargetDirectory(lapsed_retention_s=2.0)
+    directory = TargetDirectory(rewrite_s=2.0)
     directory.put(target(leaving=leaving))
     directory.replace_all([], after_outage, now=0.0)
     directory.expire(at)
@@ -29,7 +29,7 @@
 
 
 def test_restored_entry_does_not_expire():
-    directory = TargetDirectory(lapsed_retention_s=2.0)
+    directory = TargetDirectory(rewrite_s=2.0)
     directory.put(target())
     directory.replace_all([], True, now=0.0)
     directory.put(target())
@@ -38,7 +38,7 @@
 
 
 def test_second_read_after_an_outage_does_not_extend_the_retention():
-    directory = TargetDirectory(lapsed_retention_s=2.0)
+    directory = TargetDirectory(rewrite_s=2.0)
     directory.put(target())
     directory.replace_all([], True, now=0.0)
     directory.replace_all([], True, now=1.5)
@@ -55,3 +55,61 @@
 
 def test_restart_under_the_same_id_starts_a_new_lifetime():
     assert target(born=1).lifetime != target(born=2).lifetime
+
+
+@pytest.mark.parametrize(
+    ("after_outage", "born", "is_leaving"),
+    [(True, 1, True), (True, 2, False), (False, 1, False)],
+)
+def test_an_older_copy_of_the_store_does_not_bring_back_a_leaving_target(
+    after_outage, born, is_leaving
+):
+    """The copy was made before the target wrote that it leaves; it got new requests again."""
+    directory = TargetDirectory()
+    directory.put(target(leaving=True))
+    directory.replace_all([target(born=born)], after_outage, now=0.0)
+    assert directory.by_id["t"].is_leaving is is_leaving
+
+
+def test_an_older_copy_of_the_store_does_not_bring_back_a_removed_target():
+    """The copy was made before the entry was removed; a target that had left got requests."""
+    directory = TargetDirectory(rewrite_s=2.0)
+    directory.put(target())
+    directory.remove("t", now=10.0)
+    directory.replace_all([target()], True, now=12.0)
+    assert directory.by_id == {}
+    # The entry is still there when all targets have written theirs again, so the target lives.
+    directory.replace_all([target()], False, now=13.0)
+    assert directory.by_id == {}
+    directory.expire(14.0)
+    assert list(directory.by_id) == ["t"]
+
+
+@pytest.mark.parametrize(
+    ("after_outage", "born", "at"),
+    [(False, 1, 12.0), (True, 2, 12.0), (True, 1, 40.0)],
+    ids=["no-outage", "restarted", "long-ago"],
+)
+def test_an_entry_that_is_written_anew_is_taken_at_once(after_outage, born, at):
+    directory = TargetDirectory(removal_memory_s=30.0)
+    directory.put(target())
+    directory.remove("t", now=10.0)
+    directory.expire(at)
+    directory.replace_all([target(born=born)], after_outage, now=at)
+    assert list(directory.by_id) == ["t"]
+
+
+@pytest.mark.parametrize("is_written", [True, False], ids=["written", "removed"])
+def test_what_a_target_writes_goes_before_an_older_copy(is_written):
+    directory = TargetDirectory(rewrite_s=2.0)
+    directory.put(target())
+    directory.remove("t", now=10.0)
+    directory.replace_all([target()], True, now=12.0)
+    if is_written:
+        directory.put(target())
+    else:
+        directory.remove("t", now=12.5)
+    directory.expire(12.5)
+    assert list(directory.by_id) == (["t"] if is_written else [])
+    directory.expire(20.0)
+    assert list(directory.by_id) == (["t"] if is_written else [])
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -140,8 +140,8 @@
         self._watch_rules = WatchRules.within(min(bounds.apply_s, bounds.drain_s))
         feed = make_feed(client, self._watch_rules.response_timeout_s)
         quarantines = QuarantineStore(feed, timers, decoder.quarantine_table)
-        crash_reports = CrashReports(self.context, quarantines)
-        self.reports = LoadReports(self.context, crash_reports)
+        self._crash_reports = CrashReports(self.context, quarantines)
+        self.reports = LoadReports(self.context, self._crash_reports)
         self.peers = PeersTask(self.context, feed, decoder.router_table, self.reports, rng)
         try:
             self._link = PeerLink(settings.peers, None, self._on_message).register(self)
@@ -177,6 +177,7 @@
                 decoder.target_table,
                 entries.on_read,
                 entries.on_changes,
+                on_restored=self._on_store_restored,
             ),
         }
         self.origins.watch_targets(self._watch_by_table[decoder.target_table])
@@ -320,6 +321,13 @@
         text = self._state_report.metrics_text()
         exchange.respond(200, text.encode(), [("Content-Type", "text/plain")])
 
+    def _on_store_restored(self) -> None:
+        """Write again what the store may have lost, as it has come back from an older copy."""
+        self.context.metrics.count("store_restored")
+        self.peers.on_store_restored()
+        self._crash_reports.on_store_restored()
+        self.origins.on_store_restored()
+
     def _on_config(self, page: FeedPage) -> None:
         try:
             config = self._decoder.decode_config(page.rows)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/crash_reports.py
@@ -27,6 +27,10 @@
         """Read the quarantines from before this start."""
         self._store.start(lambda reports: self.receive(reports, now()))
 
+    def on_store_restored(self) -> None:
+        """Store the quarantines again, as the store has come back from an older copy."""
+        self._store.write_again()
+
     def prepare(self, at: float) -> tuple[SuspectCrashes, ...]:
         """Return the report for the other routers, after confirming this router's own crashes."""
         suspects = self._context.crash_suspects
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/origin_task.py
@@ -93,6 +93,11 @@
         self._version_store.start(self._on_stored_versions)
         self.refresh()
 
+    def on_store_restored(self) -> None:
+        """Store the versions and streams again; the store has come back from an older copy."""
+        self._version_store.write_again()
+        self._stream_store.write_again()
+
     def refresh(self) -> None:
         """Follow the versions and the routers."""
         self._context.timers.after(_REFRESH_INTERVAL_S, self.refresh)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/peers_task.py
@@ -78,6 +78,11 @@
         for info in self._context.view.peers(now()):
             self._send_gossip(info.peer_address, reply=False)
 
+    def on_store_restored(self) -> None:
+        """Register again, as the store has come back from an older copy."""
+        self._is_registered = False
+        self._schedule_read(_SHORT_READ_DELAY_S)
+
     def unregister(self) -> None:
         """Remove this router's row."""
         remove_row(self._feed, self._router_table, self._context.settings.name)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/quarantine_store.py
@@ -99,6 +99,10 @@
 
         self._feed.put(self._table, _row_key(suspect), _encode(crashes), done)
 
+    def write_again(self) -> None:
+        """Write the rows again at the next call of :meth:`save`, as the store may lack them."""
+        self._crash_count_by_suspect.clear()
+
     def remove(self, suspect: Suspect) -> None:
         """Remove the row of a suspect whose quarantine has ended."""
         self._crash_count_by_suspect.pop(suspect, None)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/stream_store.py
@@ -7,6 +7,7 @@
 
 import logging
 import time
+from collections import deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
@@ -44,6 +45,8 @@
 # Age of the last read up to which the changes since then are less than the whole table.
 _MAX_CHANGES_AGE_S = 20.0
 _REMOVED_PER_CALL = 100
+# Age of the oldest state that the store may come back from.
+_MAX_COPY_AGE_S = 30.0
 # Writes in the longest time for which the response to one is waited for.
 _MAX_WRITES_IN_FLIGHT = 16
 
@@ -85,6 +88,9 @@
         self._row_number = 0
         self._row_by_key: dict[str, _KnownRow] = {}
         self._revision: int | None = None
+        self._era = 0
+        # What was written lately, with the times of the writes.
+        self._written: deque[tuple[float, list[StreamStart]]] = deque()
         self._ignored_rows = IgnoredRows("streams_row_ignored")
         self.reads = CoalescedRead(timers, self._read, _READ_INTERVAL_S)
 
@@ -94,6 +100,13 @@
         del self._pending[:-_MAX_PENDING]
         self._write()
 
+    def write_again(self) -> None:
+        """Write again what was written lately, as the store may have lost it."""
+        self._forget_old_writes()
+        written = [start for _, starts in self._written for start in starts]
+        self._written.clear()
+        self.add(written)
+
     def unwritten(self) -> list[StreamStart]:
         """Return the streams whose write has not been confirmed."""
         in_flight = (start for written in self._writes_in_flight for start in written)
@@ -146,8 +159,15 @@
             )
             self._pending[:0] = written
             del self._pending[:-_MAX_PENDING]
+        else:
+            self._written.append((now(), written))
+            self._forget_old_writes()
         self._write()
 
+    def _forget_old_writes(self) -> None:
+        while self._written and now() - self._written[0][0] >= _MAX_COPY_AGE_S:
+            self._written.popleft()
+
     def _on_interval(self) -> None:
         self._is_paused = False
         self._write()
@@ -183,6 +203,17 @@
             log_event(_LOGGER, "streams_not_read", logging.WARNING, reason=page)
             done(False)
             return
+        if page.era > self._era and not is_whole:
+            # The changes before this page were made in an older copy.
+            self._read_all(done)
+            return
+        if page.era < self._era:
+            done(False)
+            return
+        if page.era > self._era:
+            self._era = page.era
+            self._row_by_key = {}
+            self._revision = None
         kept_after = page.revision if is_whole else -1
         self._row_by_key = {
             key: known
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -93,6 +93,8 @@
     :param on_read: called with each full read, and whether the store was unreachable before it.
     :param on_change: called with each page of changes.
     :param on_confirmed: called with a time at which the router's copy was known to be up to date.
+    :param on_restored: called after the first full read since the store came back from an older
+        copy, which may lack what this fleet had written.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         on_read: Callable[[FeedPage, bool], None],
         on_change: Callable[[FeedPage], None],
         on_confirmed: Callable[[float], None] = lambda at: None,
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._feed = feed
         self._timers = timers
@@ -114,6 +117,7 @@
         self._on_read = on_read
         self._on_change = on_change
         self._on_confirmed = on_confirmed
+        self._on_restored = on_restored
         self._copy = FeedCopy()
         self._is_store_down = False
         self._retry_s = _FIRST_RETRY_S
@@ -151,7 +155,8 @@
                 done(is_confirmed)
 
         def on_changes(page: FeedPage | TableError) -> None:
-            if isinstance(page, FeedGapError):
+            is_new_era = isinstance(page, FeedPage) and page.era > self._copy.era
+            if is_new_era or isinstance(page, FeedGapError):
                 self._feed.read(self._table, on_read)
                 return
             assert after is not None
@@ -176,7 +181,7 @@
         if self._peers.is_reader() and not page.is_empty:
             # The next call for changes does not return these again.
             self._publish(page, after)
-        return page.revision >= revision
+        return (page.era, page.revision) >= (self._copy.era, revision)
 
     def on_news(self, news: TableNews) -> None:
         """Handle changes that another router has read."""
@@ -223,17 +228,24 @@
 
     def _apply_read(self, page: FeedPage, sent_at: float) -> bool:
         """Apply a full read unless the copy is newer; return whether it was applied."""
-        after_outage = self._is_store_down
+        was_down = self._is_store_down
         self._record_answer()
-        is_older = self._copy.revision is not None and page.revision < self._copy.revision
-        if sent_at < self._read_sent_at or (is_older and not after_outage):
+        is_first = self._read_sent_at == float("-inf")
+        is_older = self._copy.is_newer_than(page) and not was_down
+        if sent_at < self._read_sent_at or page.era < self._copy.era or is_older:
             return False
         self._read_sent_at = sent_at
-        if after_outage:
-            log_event(_LOGGER, "store_back", table=self._table, revision=page.revision)
+        is_restored = page.era > self._copy.era and not is_first
+        if was_down or is_restored:
+            log_event(
+                _LOGGER, "store_back", table=self._table, revision=page.revision, era=page.era
+            )
         self._copy.apply_read(page, sent_at)
-        self._on_read(page, after_outage)
+        # The entries in an older copy may have lapsed or be out of date, as after an outage.
+        self._on_read(page, was_down or is_restored)
         self._on_confirmed(self._copy.confirmed_at)
+        if is_restored:
+            self._on_restored()
         return True
 
     def _on_changes_done(self, page: FeedPage | TableError, after: int, sent_at: float) -> None:
@@ -242,7 +254,10 @@
             self._on_error(page)
             return
         with self._following():
-            self._apply_changes(page, sent_at)
+            has_followed = self._apply_changes(page, sent_at)
+        if not has_followed:
+            self._call_store()
+            return
         self._schedule_call(0.0 if page.is_empty else self._rules.coalesce_s)
         if self._peers.is_reader():
             self._publish(page, after)
@@ -258,12 +273,17 @@
             self._next_call = self._timers.after(_MAX_RETRY_S, self._call_store)
             raise
 
-    def _apply_changes(self, page: FeedPage, sent_at: float) -> None:
+    def _apply_changes(self, page: FeedPage, sent_at: float) -> bool:
+        """Apply changes; return False if the whole table has to be read in their place."""
         self._record_answer()
         new = self._copy.apply_changes(page, sent_at)
+        if new is None:
+            log_event(_LOGGER, "store_era_changed", table=self._table, era=page.era)
+            return False
         if not new.is_empty:
             self._on_change(new)
         self._on_confirmed(self._copy.confirmed_at)
+        return True
 
     def _record_answer(self) -> None:
         self._is_store_down = False
@@ -281,6 +301,7 @@
                 is_whole,
                 rows if is_whole else (),
                 page.removed if is_whole else {},
+                page.era,
             )
         )
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/target_entries.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/target_entries.py
@@ -39,17 +39,17 @@
         for id, target in target_by_id.items():
             if target is None:
                 # It has not lapsed in the outage, as other entries may have.
-                self._targets.remove(id)
+                self._targets.remove(id, now())
         self._on_change()
 
     def on_changes(self, page: FeedPage) -> None:
         """Apply changes of the table."""
         for key in page.removed:
-            self._targets.remove(key)
+            self._targets.remove(key, now())
         for row in page.rows:
             target = self._decode(row)
             if target is None:
-                self._targets.remove(row.key)
+                self._targets.remove(row.key, now())
             else:
                 self._targets.put(target)
         self._on_change()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/memory_feed.py
@@ -11,11 +11,18 @@
         self.rows: dict[str, Row] = {}
         self.removed: dict[str, int] = {}
         self.revision = 1
+        self.era = 1
         self.puts = 0
         self.reads = 0
         self.rows_returned = 0
         self.has_gap = False
 
+    def come_back_from_copy(self, revision):
+        """Lose what was written after a revision; revisions are given out again."""
+        self.rows = {key: row for key, row in self.rows.items() if row.revision <= revision}
+        self.revision = revision
+        self.era += 1
+
     def _fails(self):
         self.failures -= 1
         return self.failures >= 0
@@ -26,7 +33,7 @@
             done(TableError("away", "retry"))
         else:
             self.rows_returned += len(self.rows)
-            done(FeedPage(list(self.rows.values()), {}, self.revision, 0.0))
+            done(FeedPage(list(self.rows.values()), {}, self.revision, 0.0, self.era))
 
     def changes(self, table, after, wait_s, done):
         self.reads += 1
@@ -39,7 +46,7 @@
         rows = [row for row in self.rows.values() if row.revision > after]
         self.rows_returned += len(rows)
         removed = {key: at for key, at in self.removed.items() if at > after}
-        done(FeedPage(rows, removed, self.revision, 0.0))
+        done(FeedPage(rows, removed, self.revision, 0.0, self.era))
 
     def put(self, table, key, value, done):
         self.puts += 1
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -175,3 +175,15 @@
     task._read_rows()
     assert context.view.own_info.incarnation == 7001
     assert store.puts == 2
+
+
+def test_a_router_registers_again_after_the_store_came_back_from_a_copy(monkeypatch):
+    """Its row was gone until the next regular read, which is tens of seconds later."""
+    task, context = make(monkeypatch, routers=2)
+    store: Any = task._feed
+    task._register()
+    store.puts = 0
+    task.on_store_restored()
+    [timer] = context.timers.pending
+    timer.callback()
+    assert store.puts == 1
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_quarantine_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_quarantine_store.py
@@ -78,3 +78,14 @@
     feed = Feed()
     feed.rows["x"] = Row("x", b"\xc1", 1)
     assert start(feed)[1] == []
+
+
+def test_a_quarantine_that_the_store_has_lost_is_written_again():
+    """The store came back from an older copy, and a restart of all routers forgot the suspect."""
+    feed = Feed()
+    store, _ = start(feed)
+    store.save(SUSPECT, crashes(3))
+    feed.rows.clear()
+    store.write_again()
+    store.save(SUSPECT, crashes(3))
+    assert len(start(feed)[1]) == 1
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_stream_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_stream_store.py
@@ -191,3 +191,38 @@
             clock.advance(0.3)
     make_store(feed, clock).clear()
     assert feed.rows == {}
+
+
+def test_streams_that_the_store_has_lost_are_written_again(clock):
+    """The store came back from an older copy, and their callers could not resume them."""
+    feed = Feed()
+    recorder = make_store(feed, clock)
+    starts = [make_start(number) for number in range(40)]
+    for start in starts:
+        recorder.add([start])
+        clock.advance(0.25)
+    feed.come_back_from_copy(revision=21)
+    assert sum(find(feed, clock, start) is not None for start in starts) == 20
+    recorder.write_again()
+    clock.advance(0.25)
+    assert [find(feed, clock, start) for start in starts] == starts
+
+
+def test_a_reader_of_streams_follows_a_store_that_came_back_from_a_copy(clock):
+    """It took revisions that were given out twice for those that it had read."""
+    feed = Feed()
+    recorder = make_store(feed, clock)
+    store = make_store(feed, clock, "fresh")
+    for number in range(4):
+        recorder.add([make_start(number)])
+        clock.advance(0.3)
+    store.reads.request(clock.now)
+    feed.come_back_from_copy(revision=2)
+    for number in range(10, 14):
+        make_store(feed, clock, f"r{number}").add([make_start(number)])
+        clock.advance(0.3)
+        store.reads.request(clock.now)
+    assert [find(feed, clock, make_start(n)) for n in (0, 10, 11, 12, 13)] == [
+        make_start(n) for n in (0, 10, 11, 12, 13)
+    ]
+    assert len(store.find([make_start(n).key for n in (0, 10, 11, 12, 13)])) == 5
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_table_watch.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from parsleyrudder import FeedPage, Row, TableError, TableNews
+from parsleyrudder import FeedGapError, FeedPage, Row, TableError, TableNews
 from parsleyrudder_daemon.relay import table_watch
 from parsleyrudder_daemon.relay.table_watch import TableWatch, WatchRules
 
@@ -53,8 +53,10 @@
         self.clock = clock
         self.rows = {}
         self.revision = 0
+        self.era = 1
         self.is_up = True
         self.calls = 0
+        self.reads = 0
         self.held = []
 
     def put(self, key):
@@ -64,7 +66,15 @@
         for respond in held:
             respond()
 
+    def come_back_from_copy(self, revision):
+        """Lose what was written after a revision; the calls that are held fail."""
+        self.rows = {key: row for key, row in self.rows.items() if row.revision <= revision}
+        self.revision = revision
+        self.era += 1
+        self.held.clear()
+
     def read(self, table, done):
+        self.reads += 1
         self._call(0, 0.0, done)
 
     def changes(self, table, after, wait_s, done):
@@ -77,13 +87,20 @@
             self.clock.after(wait_s + RULES.response_timeout_s, lambda: done(error))
             return
         is_done = False
+        era = self.era
 
         def respond():
             nonlocal is_done
             if not is_done:
                 is_done = True
+                if self.era != era:
+                    done(TableError("connection lost", "wait"))
+                    return
+                if after > self.revision:
+                    done(FeedGapError("gap", "read the whole table"))
+                    return
                 rows = [row for row in self.rows.values() if row.revision > after]
-                page = FeedPage(rows, {}, self.revision, self.clock.now - 50.0)
+                page = FeedPage(rows, {}, self.revision, self.clock.now - 50.0, self.era)
                 self.clock.after(LATENCY_S, lambda: done(page))
 
         if wait_s and self.revision == after:
@@ -105,6 +122,7 @@
         self.failing_key = ""
         self.seen_at: dict[str, dict[str, float]] = {f"r{n}": {} for n in range(routers)}
         self.confirmed_at = {}
+        self.restored: list[str] = []
         self.watch_by_name = {name: self._watch(name) for name in self.seen_at}
         for watch in self.watch_by_name.values():
             watch.start()
@@ -125,6 +143,7 @@
             on_page,
             on_page,
             lambda at: self.confirmed_at.__setitem__(name, at),
+            lambda: self.restored.append(name),
         )
 
     def put(self, key):
@@ -187,6 +206,34 @@
     assert fleet.clock.now - min(fleet.confirmed_at.values()) < RULES.max_age_s + 2 * LATENCY_S
 
 
+@pytest.mark.parametrize("lost", [1, 2, 3])
+@pytest.mark.parametrize("silent", [(), ("r0", "r1")], ids=["news", "no-news"])
+def test_a_revision_that_is_given_out_twice_hides_no_change(monkeypatch, lost, silent):
+    """Routers ran requests with a revoked key for good after the store came back from a copy."""
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    for key in ("a", "b", "c"):
+        fleet.put(key)
+    fleet.silent = set(silent)
+    reads_before = fleet.store.reads
+    fleet.store.come_back_from_copy(fleet.store.revision - lost)
+    for number in range(lost - 1):
+        fleet.store.put(f"other-{number}")
+    assert fleet.put("changed") < 2.0
+    assert sorted(fleet.restored) == sorted(fleet.watch_by_name)
+    assert fleet.store.reads - reads_before == 6
+
+
+def test_a_store_that_comes_back_from_a_copy_twice_is_followed(monkeypatch):
+    fleet = Fleet(monkeypatch, routers=6, readers=2)
+    for key in ("a", "b", "c"):
+        fleet.put(key)
+    for number in range(2):
+        fleet.store.come_back_from_copy(2)
+        fleet.clock.run_until(fleet.clock.now + 0.3)
+        assert fleet.put(f"changed-{number}") < 2.0
+    assert len(fleet.restored) == 2 * 6
+
+
 @pytest.mark.parametrize("name", ["r0", "r5"], ids=["reader", "follower"])
 def test_a_copy_is_confirmed_when_it_is_needed(monkeypatch, name):
     """The call that waits for a change was sent too early to show what there is now."""
@@ -259,8 +306,8 @@
         self.watch.confirm(self.confirmed.append)
 
 
-def page_of(revision):
-    return FeedPage([], {}, revision, float(revision))
+def page_of(revision, era=0):
+    return FeedPage([], {}, revision, float(revision), era)
 
 
 def test_a_read_that_arrives_late_reverts_nothing(monkeypatch):
@@ -331,3 +378,17 @@
     with pytest.raises(RuntimeError):
         fleet.clock.run_until(fleet.clock.now + 2.0)
     assert watch.confirmed_at == confirmed_at
+
+
+def test_a_confirmation_after_the_store_came_back_from_a_copy_reads_the_table(monkeypatch):
+    """Changes since a revision of the earlier copy do not show what there is now."""
+    calls = Calls(monkeypatch)
+    calls.reads[0](page_of(5))
+    calls.confirm()
+    calls.changes_calls[0](page_of(6, era=1))
+    calls.reads[1](page_of(6, era=1))
+    assert calls.confirmed == [True]
+    assert calls.applied == [5, 6]
+    calls.confirm()
+    calls.changes_calls[1](page_of(9))
+    assert calls.confirmed == [True, False]
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_version_store.py
@@ -66,3 +66,19 @@
     store.save([V1, V2], is_complete=True)
     store.remove_others([V1, V2])
     assert start(feed)[1] == StoredVersions(frozenset({V1, V2}), True, False)
+
+
+def test_versions_that_the_store_has_lost_are_written_again():
+    """The store came back from an older copy, with a version that is gone and without others."""
+    feed = Feed()
+    store, _ = start(feed)
+    store.save([V1], is_complete=True)
+    copy = dict(feed.rows)
+    store.save([V1, V2], is_complete=True)
+    store.remove_others([V2])
+    feed.rows = copy
+    store.write_again()
+    for _ in range(2):
+        store.save([V2], is_complete=True)
+        store.remove_others([V2])
+    assert start(feed)[1] == StoredVersions(frozenset({V2}), True, False)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/version_store.py
@@ -17,6 +17,7 @@
 from parsleyrudder_adapters.timers import Timers
 
 from .coalesced_read import CoalescedRead
+from .context import now
 from .ignored_rows import IgnoredRows
 from .row_keys import row_key
 
@@ -93,6 +94,11 @@
 
         self._feed.read(self._table, on_page)
 
+    def write_again(self) -> None:
+        """Write the rows again at the next call of :meth:`save`, as the store may lack them."""
+        self._stored_keys.clear()
+        self.reads.request(now())
+
     def save(self, versions: Iterable[PoolVersion], is_complete: bool) -> None:
         """Write the rows of versions that are not stored; a failed write may be repeated later.
 
