Fail a response whose end follows a failed write

Cause: the router was still sending the body. A failed send() takes the connection's error, so the next reads return what had arrived and then the end of the input, which ends a response without a length.

Change: after a failed write the end of the input fails the exchange. Responses that end by their length or their last chunk are reported before that, early refusals too. Streams, and the clients of the store, use the same code.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -256,6 +256,11 @@
         if connection.exchange is None:
             self._close(connection)
             return
+        if not data and connection.write_failed:
+            # The failed write has taken the error of the connection, so that a reset looks like
+            # the end of a response without a length.
+            self._fail_connection(connection, "connection lost while the request was sent")
+            return
         self._parse(connection, data)
 
     @handler("_disconnect", "_error", priority=1)
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
@@ -68,6 +68,7 @@
 class Connection:
     """One connection to a server.
 
+    :ivar write_failed: whether sending failed, after which the end of the input proves nothing.
     :ivar is_skipping_response: whether the current response belongs to an earlier request.
     :ivar is_reused: whether a request was sent on it before the current one.
     :ivar may_be_reused: whether another request may follow the current one.
