Ask for keys although no organisation holds one

Cause: TrafficConfig kept only the organisations by key, so that the relay took a configuration without keys for one that uses none.

Change: TrafficConfig.requires_keys.

Ruled out: a late or old configuration.

--- a/packages/parsleyrudder/parsleyrudder/routes/model.py
+++ b/packages/parsleyrudder/parsleyrudder/routes/model.py
@@ -127,7 +127,9 @@
 
     :ivar tokens_per_s: combined throughput of the engines of all pools, where a prompt token counts
         once and a generated token twice; 0 if unknown.
-    :ivar organisation_by_key: organisations by API key; empty if requests need no key.
+    :ivar requires_keys: whether requests need a key, unless their route is public; organisations
+        may be declared although none of them holds a key.
+    :ivar organisation_by_key: organisations by API key.
     """
 
     version: int
@@ -135,6 +137,7 @@
     pool_by_name: dict[str, PoolSpec]
     limits: CallerLimits = field(default_factory=CallerLimits)
     tokens_per_s: float = 0.0
+    requires_keys: bool = False
     organisation_by_key: dict[str, Organisation] = field(default_factory=dict)
     _routes_by_host: dict[str, list[Route]] = field(init=False, default_factory=dict)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -220,7 +220,7 @@
         active_config = self._context.active_config
         config = active_config.config
         assert config is not None
-        if route.is_public or not config.organisation_by_key:
+        if route.is_public or not config.requires_keys:
             return None
         if not active_config.may_use_keys(now()):
             return failure("cut_off", "keys may have been revoked meanwhile", _RETRY_AFTER_S)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_moved_routes.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_moved_routes.py
@@ -33,7 +33,7 @@
     monkeypatch.setattr(relay_api, "RelayCall", Call)
     monkeypatch.setattr(relay_api, "now", lambda: 100.0)
     route = Route("r", "h", "/", RouteKind.STREAM, 9.0, weight_by_pool, is_resumable=True)
-    config = SimpleNamespace(find_route=lambda host, path: route, organisation_by_key={})
+    config = SimpleNamespace(find_route=lambda host, path: route, requires_keys=False)
     decoded = DecodedRequest("b", "h", "/", "", 9.0, RequestSize(), 7, "a")
     context: Any = SimpleNamespace(
         is_stopping=False,
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_overload.py
@@ -32,6 +32,7 @@
     config = SimpleNamespace(
         version=1,
         find_route=lambda host, path: ROUTE,
+        requires_keys=True,
         organisation_by_key=ORGANISATION_BY_KEY,
     )
     active_config = SimpleNamespace(
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_resumption.py
@@ -44,9 +44,7 @@
     monkeypatch.setattr(relay_api, "RelayCall", Call)
     monkeypatch.setattr(relay_api, "now", lambda: NOW)
     route_by_host = {"h": ROUTE, "shortened": replace(ROUTE, timeout_s=10.0)}
-    config = SimpleNamespace(
-        find_route=lambda host, path: route_by_host[host], organisation_by_key={}
-    )
+    config = SimpleNamespace(find_route=lambda host, path: route_by_host[host], requires_keys=False)
     context: Any = SimpleNamespace(
         is_stopping=False,
         dialect=SimpleNamespace(decode_request=lambda request: request.decoded),
