--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -18,12 +18,12 @@
 
 from .http_exchange import Connection, Exchange
 from .http_messages import HttpRequest, ResponseMatch, max_idle_s, serialize_request
+from .idle_connections import IdleConnections
 from .timers import Timers
 
 __all__ = ["Exchange", "HttpClient", "HttpRequest", "ResponseMatch"]
 
 _RECV_BYTES = 65536
-_MAX_IDLE_PER_ADDRESS = 8
 # Time without a response after which other idle connections to the same server are not trusted.
 _SILENCE_S = 1.0
 # Bytes that a server may send before a response, as informational and late other responses.
@@ -40,7 +40,7 @@
         self._timers = timers
         self._connect_timeout_s = connect_timeout_s
         self._connection_by_sock: dict[socket.socket, Connection] = {}
-        self._idle_by_address: dict[str, list[Connection]] = {}
+        self._idle = IdleConnections(self._close)
         self._cached_poller: BasePoller | None = None
 
     @property
@@ -68,7 +68,7 @@
         :param timeout_s: time within which the exchange must complete; None for no limit.
         """
         exchange = Exchange(self, request, listener)
-        connection = self._pop_idle(address, request.max_idle_s) if request.reuse else None
+        connection = self._idle.pop(address, request.max_idle_s) if request.reuse else None
         try:
             if connection is None:
                 connection = self._connect(address)
@@ -109,7 +109,7 @@
         self._close(connection)
         waited_s = time.monotonic() - connection.used_at
         if exchange.sent and not connection.has_response_started and waited_s >= _SILENCE_S:
-            self._close_idle_since(connection.address, connection.used_at)
+            self._idle.close_unused_since(connection.address, connection.used_at)
 
     def set_reading(self, exchange: Exchange, reading: bool) -> None:
         """Start or stop reading from the server."""
@@ -118,36 +118,7 @@
 
     def close_idle(self) -> None:
         """Close all idle connections."""
-        for connections in list(self._idle_by_address.values()):
-            for connection in list(connections):
-                self._close(connection)
-
-    def _close_idle_since(self, address: str, at: float) -> None:
-        """Close the connections to a server that have been idle since a time.
-
-        They may have gone silent together with one that got no response since then.
-        """
-        for connection in list(self._idle_by_address.get(address, ())):
-            if connection.used_at <= at:
-                self._close(connection)
-
-    def _pop_idle(self, address: str, max_idle_s: float) -> Connection | None:
-        """Return an idle connection that the server is not known to have closed."""
-        idle = self._idle_by_address.get(address)
-        # The last one is the one that was used last.
-        while idle and time.monotonic() - idle[-1].used_at <= max_idle_s:
-            connection = idle.pop()
-            if time.monotonic() >= connection.idle_until:
-                self._close(connection)
-                continue
-            try:
-                connection.sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                return connection
-            except OSError:
-                pass
-            self._close(connection)
-        return None
+        self._idle.close_all()
 
     def _connect(self, address: str) -> Connection:
         """Open a connection.
@@ -345,22 +316,18 @@
         is_sent = not connection.send_queue and not connection.write_failed
         if connection.may_be_reused and is_parser_done and is_sent and not has_surplus:
             parser.start_next_cycle()
-            self._add_idle(connection)
+            self._keep_idle(connection)
         else:
             self._close(connection)
         listener, exchange.listener = exchange.listener, None
         if listener is not None:
             listener.on_end()
 
-    def _add_idle(self, connection: Connection) -> None:
-        idle = self._idle_by_address.setdefault(connection.address, [])
-        if len(idle) >= _MAX_IDLE_PER_ADDRESS:
+    def _keep_idle(self, connection: Connection) -> None:
+        if self._idle.add(connection):
+            self._set_interest(connection, reading=True)
+        else:
             self._close(connection)
-            return
-        self._set_interest(connection, reading=True)
-        connection.used_at = time.monotonic()
-        connection.is_reused = True
-        idle.append(connection)
 
     def _fail_connection(self, connection: Connection, reason: str) -> None:
         exchange = connection.exchange
@@ -380,9 +347,7 @@
             return
         if connection.timer is not None:
             connection.timer.cancel()
-        idle = self._idle_by_address.get(connection.address, [])
-        if connection in idle:
-            idle.remove(connection)
+        self._idle.discard(connection)
         self._poller.discard(connection.sock)
         with contextlib.suppress(OSError):
             connection.sock.close()
