Take turns between connections while a server sends small parts

Cause: the HTTP client handled everything that one read had brought, some thousand chunks or interim responses, before it turned to another connection, and limited the bytes of the body, not those on the wire. Memory was bounded.

Change: after 128 parsed events the rest waits for the next turn. An exchange ends after 100 interim responses, or after 256 KiB besides the body and as much again as the body has.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_client.py
@@ -26,8 +26,12 @@
 _RECV_BYTES = 65536
 # Time without a response after which other idle connections to the same server are not trusted.
 _SILENCE_S = 1.0
-# Bytes that a server may send before a response, as informational and late other responses.
-_MAX_IGNORED_BYTES = 262144
+# Bytes that a server may send besides the body of a response, and as many more as the body has:
+# heads, sizes of chunks, interim responses, and late other responses.
+_MAX_SURPLUS_BYTES = 262144
+_MAX_INTERIM_RESPONSES = 100
+# Parsed events, such as chunks of a body, after which other connections have their turn.
+_MAX_EVENTS_PER_TURN = 128
 
 
 class HttpClient(BaseComponent):
@@ -82,8 +86,7 @@
             return exchange
         connection.exchange = exchange
         connection.used_at = time.monotonic()
-        connection.ignored_bytes = 0
-        connection.has_response_started = False
+        connection.begin_response()
         exchange.connection = connection
         if not connection.connected:
             limit = self._connect_timeout_s
@@ -113,8 +116,10 @@
 
     def set_reading(self, exchange: Exchange, reading: bool) -> None:
         """Start or stop reading from the server."""
-        if exchange.connection is not None and exchange.connection.connected:
-            self._set_interest(exchange.connection, reading=reading)
+        connection = exchange.connection
+        if connection is not None and connection.connected:
+            connection.is_paused = not reading
+            self._update_reading(connection)
 
     def close_idle(self) -> None:
         """Close all idle connections."""
@@ -157,6 +162,11 @@
             else:
                 poller.removeWriter(connection.sock)
 
+    def _update_reading(self, connection: Connection) -> None:
+        if connection.sock in self._connection_by_sock:
+            is_held = connection.is_paused or connection.is_deferred
+            self._set_interest(connection, reading=not is_held)
+
     @handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
         self.on_writable(sock)
@@ -242,34 +252,75 @@
 
     def _parse(self, connection: Connection, data: bytes) -> None:
         """Parse received bytes; empty ``data`` means that the server closed the connection."""
-        exchange = connection.exchange
-        if not connection.has_response_started:
-            connection.ignored_bytes += len(data)
-            if connection.ignored_bytes > _MAX_IGNORED_BYTES:
-                self._fail_connection(connection, "too many bytes without a response")
-                return
+        connection.received_bytes += len(data)
+        if connection.surplus_bytes > _MAX_SURPLUS_BYTES + connection.body_bytes:
+            self._fail_connection(connection, "too many bytes that are no body of a response")
+            return
         try:
             connection.parser.receive_data(data)
-            while exchange is not None and exchange.listener is not None:
+        except h11.RemoteProtocolError as error:
+            self._fail_connection(connection, f"protocol error: {error}")
+            return
+        self._handle_events(connection)
+
+    def _handle_events(self, connection: Connection) -> None:
+        """Handle what has been parsed; if it is much, the rest after a turn of the event loop."""
+        exchange = connection.exchange
+        try:
+            for _ in range(_MAX_EVENTS_PER_TURN):
+                if exchange is None or exchange.listener is None:
+                    return
                 event = connection.parser.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
-                    break
-                if isinstance(event, h11.Response):
-                    self._handle_head(connection, exchange, event)
-                elif isinstance(event, h11.Data):
-                    if not connection.is_skipping_response:
-                        exchange.listener.on_data(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    if connection.is_skipping_response:
-                        self._skip_to_next_response(connection, exchange)
-                        continue
-                    self._complete(connection, exchange)
                     return
-                elif isinstance(event, h11.ConnectionClosed):
-                    self._fail_connection(connection, "server closed the connection")
+                if not self._handle_event(connection, exchange, exchange.listener, event):
                     return
         except h11.RemoteProtocolError as error:
             self._fail_connection(connection, f"protocol error: {error}")
+            return
+        self._handle_rest_later(connection)
+
+    def _handle_rest_later(self, connection: Connection) -> None:
+        """Let other connections have their turn before the rest of what has been parsed."""
+        connection.is_deferred = True
+        self._update_reading(connection)
+
+        def go_on() -> None:
+            connection.is_deferred = False
+            if connection.sock in self._connection_by_sock:
+                self._handle_events(connection)
+                self._update_reading(connection)
+
+        self._timers.after(0.0, go_on)
+
+    def _handle_event(
+        self,
+        connection: Connection,
+        exchange: Exchange,
+        listener: ResponseListener,
+        event: object,
+    ) -> bool:
+        """Handle a parsed event; return whether another one may follow."""
+        if isinstance(event, h11.Response):
+            self._handle_head(connection, exchange, event)
+        elif isinstance(event, h11.Data):
+            if not connection.is_skipping_response:
+                connection.body_bytes += len(event.data)
+                listener.on_data(bytes(event.data))
+        elif isinstance(event, h11.InformationalResponse):
+            connection.interim_count += 1
+            if connection.interim_count > _MAX_INTERIM_RESPONSES:
+                self._fail_connection(connection, "too many interim responses")
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            if not connection.is_skipping_response:
+                self._complete(connection, exchange)
+                return False
+            self._skip_to_next_response(connection, exchange)
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail_connection(connection, "server closed the connection")
+            return False
+        return True
 
     def _handle_head(
         self, connection: Connection, exchange: Exchange, response: h11.Response
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_exchange.py
@@ -73,7 +73,11 @@
     :ivar is_reused: whether a request was sent on it before the current one.
     :ivar may_be_reused: whether another request may follow the current one.
     :ivar has_response_started: whether the head of the response has been received.
-    :ivar ignored_bytes: bytes received since the request and before the head of its response.
+    :ivar received_bytes: bytes received since the request.
+    :ivar body_bytes: those of them that are of the body of its response.
+    :ivar interim_count: number of interim responses (1xx) received since the request.
+    :ivar is_paused: whether the listener has paused the response.
+    :ivar is_deferred: whether received bytes are handled in the next turn of the event loop.
     :ivar used_at: time at which a request was last sent or a response last completed.
     :ivar idle_until: time until which another request may reuse the connection.
     """
@@ -89,9 +93,24 @@
     is_reused: bool = False
     may_be_reused: bool = True
     has_response_started: bool = False
-    ignored_bytes: int = 0
+    received_bytes: int = 0
+    body_bytes: int = 0
+    interim_count: int = 0
+    is_paused: bool = False
+    is_deferred: bool = False
     used_at: float = 0.0
     idle_until: float = math.inf
     timer: Timer | None = None
     reading: bool = False
     writing: bool = False
+
+    @property
+    def surplus_bytes(self) -> int:
+        """Number of bytes received since the request that are not of its response's body."""
+        return self.received_bytes - self.body_bytes
+
+    def begin_response(self) -> None:
+        """Expect the response to a request that is about to be sent."""
+        self.has_response_started = False
+        self.received_bytes = self.body_bytes = self.interim_count = 0
+        self.is_paused = False
