Announce the close of connections to requests that a stop overtakes

What callers saw: the answers to requests that had been taken before SIGTERM did not announce the close.

Cause: the announcement was decided as a request arrived, so that requests that were open at SIGTERM missed it.

Change: HttpServer.announce_close marks the open requests and all later ones. A connection whose close could not be announced, as the head of its stream had been sent, or that has just been answered, waits 0.5 s for its next request. The handlers of the tests need not close by themselves any more. The product's own router announces the close too.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/http_server.py
@@ -179,9 +179,13 @@
         return self._server.buffered_bytes(self._sock)
 
     def close_after_response(self) -> None:
-        """Announce the close of the connection in the response, and close it after the response."""
-        self.request.keep_alive = False
-        self._server.request_reader.close_after_response(self._sock)
+        """Announce the close of the connection in the response, and close it after the response.
+
+        Nothing is done once the head is sent: the caller may send its next request then.
+        """
+        if not self.head_sent:
+            self.request.keep_alive = False
+            self._server.request_reader.close_after_response(self._sock)
 
     def notify_gone(self) -> None:
         """Handle the disconnect of the caller."""
@@ -243,6 +247,7 @@
         self._listener = Listener(timers, bind, self._on_accepted).register(self)
         self._handler = handler
         self._exchange_by_sock: dict[socket.socket, CallerExchange] = {}
+        self._announces_close = False
         self.accepted_count = 0
 
     @property
@@ -274,8 +279,18 @@
             or self._sockets.has_unsent_bytes
         )
 
+    def announce_close(self) -> None:
+        """Announce in each response from now on that its connection is closed after it.
+
+        A caller that is not told so may send its next request as the connection is closed.
+        """
+        self._announces_close = True
+        for exchange in self._exchange_by_sock.values():
+            exchange.close_after_response()
+
     def begin_stop(self) -> None:
         """Accept the pending connections, close the listening socket and the idle connections."""
+        self.announce_close()
         self._listener.stop_listening()
         self.request_reader.begin_stop()
 
@@ -313,6 +328,8 @@
 
     def _on_request(self, sock: socket.socket, request: CallerRequest) -> None:
         exchange = self._exchange_by_sock[sock] = CallerExchange(self, sock, request)
+        if self._announces_close:
+            exchange.close_after_response()
         try:
             self._handler.on_request(exchange)
         except Exception:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/request_reader.py
@@ -52,8 +52,9 @@
 # Number of connections beyond the limit that still get an error response; further ones are closed
 # at once.
 _MAX_REFUSED_CONNECTIONS = 64
-# Time in which the first request on a connection is expected when no further ones are accepted.
-_FIRST_REQUEST_S = 0.5
+# Time in which a request is expected on a connection that was just accepted or answered, when the
+# server stops.
+_LAST_REQUEST_S = 0.5
 
 
 class RequestReader:
@@ -81,8 +82,8 @@
         self._on_refused = on_refused
         self._connection_by_sock: dict[socket.socket, CallerConnection] = {}
         self._is_stopping = False
-        # Connections whose last response is complete, in the order of these responses.
-        self._idle_socks: dict[socket.socket, None] = {}
+        # Times of the last responses on connections that wait for a request, in this order.
+        self._idle_since_by_sock: dict[socket.socket, float] = {}
 
     @property
     def connection_count(self) -> int:
@@ -108,16 +109,18 @@
         """Close the connections on which no request has started, and the others when they are idle.
 
         One with unread input stays open, and so does for a short time one that has had no request
-        yet, as its caller is about to send one.
+        yet or was just answered, as its caller may be about to send one.
         """
         self._is_stopping = True
         for sock, connection in list(self._connection_by_sock.items()):
             if connection.is_receiving or self.sockets.has_input(sock):
                 continue
-            if sock in self._idle_socks:
-                self.sockets.close(sock)
+            idle_since = self._idle_since_by_sock.get(sock, time.monotonic())
+            remaining_s = idle_since + _LAST_REQUEST_S - time.monotonic()
+            if remaining_s > 0:
+                self._set_deadline(sock, connection, remaining_s)
             else:
-                self._set_deadline(sock, connection, _FIRST_REQUEST_S)
+                self.sockets.close(sock)
 
     def add_connection(self, sock: socket.socket) -> None:
         """Take over an accepted connection; beyond the limit, it replaces the longest idle one.
@@ -125,7 +128,7 @@
         One with an unread request is not idle.
         """
         if len(self._connection_by_sock) >= self._limits.connections:
-            idle = (sock for sock in self._idle_socks if not self.sockets.has_input(sock))
+            idle = (s for s in self._idle_since_by_sock if not self.sockets.has_input(s))
             replaced = next(idle, None)
             if replaced is not None:
                 self.sockets.close(replaced)
@@ -157,20 +160,20 @@
         connection.request = None
         connection.body.clear()
         self.sockets.set_reading(sock, True)
-        self._set_deadline(sock, connection, self._limits.idle_s)
+        # The close of a connection that is still kept has not been announced to its caller.
+        idle_s = _LAST_REQUEST_S if self._is_stopping else self._limits.idle_s
+        self._set_deadline(sock, connection, idle_s)
         if connection.input:
             self._parse(sock, connection, is_new_request=True)
-        elif self._is_stopping and not self.sockets.has_input(sock):
-            self.sockets.close(sock)
         else:
-            self._idle_socks[sock] = None
+            self._idle_since_by_sock[sock] = time.monotonic()
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """See :class:`SocketEventHandler`."""
         connection = self._connection_by_sock[sock]
         if connection.refused:
             return
-        self._idle_socks.pop(sock, None)
+        self._idle_since_by_sock.pop(sock, None)
         is_new_request = not connection.input and connection.parser is None
         connection.input += data
         if not connection.responding:
@@ -191,7 +194,7 @@
         connection = self._connection_by_sock.pop(sock, None)
         if connection is None:
             return
-        self._idle_socks.pop(sock, None)
+        self._idle_since_by_sock.pop(sock, None)
         if connection.timer is not None:
             connection.timer.cancel()
         if connection.responding:
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_late_loop.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_late_loop.py
@@ -75,7 +75,7 @@
     idle, other = connect(server), connect(server)
     for sock in (idle, other):
         assert exchange(sock).endswith(b"done")
-    loop.wait_until(lambda: len(server.request_reader._idle_socks) == 2)
+    loop.wait_until(lambda: len(server.request_reader._idle_since_by_sock) == 2)
     new = []
 
     def connect_and_send():
--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_planned_stop.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_planned_stop.py
@@ -12,15 +12,12 @@
 
 
 class Handler:
-    """Answers each request; once it stops, it closes the connections afterwards."""
+    """Answers each request."""
 
     def __init__(self):
         self.body = b"done"
-        self.is_stopping = False
 
     def on_request(self, exchange):
-        if self.is_stopping:
-            exchange.close_after_response()
         exchange.respond(200, self.body)
 
 
@@ -42,12 +39,6 @@
     return socket.create_connection(("127.0.0.1", server.port), timeout=5.0)
 
 
-def stop(server, requests):
-    """Begin a planned stop; called in the loop."""
-    requests.is_stopping = True
-    server.begin_stop()
-
-
 def receive(sock):
     data = b""
     try:
@@ -77,7 +68,7 @@
     def send_and_stop():
         if moment == "before":
             sock.sendall(rest)
-        stop(server, requests)
+        server.begin_stop()
 
     port = server.port
     loop.call(send_and_stop)
@@ -100,7 +91,7 @@
     sock = connect(server)
     sock.sendall(REQUEST)
     loop.wait_until(lambda: server.has_unsent_bytes)
-    loop.call(lambda: stop(server, requests))
+    loop.call(server.begin_stop)
     assert not loop.call(lambda: server.is_drained)
     received = b""
     while not received.endswith(LARGE):
@@ -112,7 +103,7 @@
 def test_connections_without_a_request_do_not_delay_the_stop_for_long(loop, server, requests):
     socks = [connect(server) for _ in range(3)]
     loop.wait_until(lambda: server.connection_count == 3)
-    loop.call(lambda: stop(server, requests))
+    loop.call(server.begin_stop)
     loop.wait_until(lambda: server.is_drained)
     assert [receive(sock) for sock in socks] == [b""] * 3
 
@@ -129,3 +120,72 @@
     loop.call(lambda: exchanges[0].respond(200, b"done"))
     assert receive(sock).endswith(b"done")
     loop.wait_until(lambda: server.is_drained)
+
+
+@pytest.fixture
+def exchanges(server):
+    """The requests that the server has received; a test answers them."""
+    received: list = []
+    server._handler.on_request = received.append
+    return received
+
+
+@pytest.mark.parametrize("is_stream", [False, True], ids=["whole", "stream"])
+def test_a_response_to_an_earlier_request_announces_the_close(loop, server, exchanges, is_stream):
+    """Its caller sent the next request, which may run once, just as the connection was closed."""
+    sock = connect(server)
+    sock.sendall(REQUEST)
+    loop.wait_until(lambda: exchanges)
+    loop.call(server.announce_close)
+
+    def respond():
+        if is_stream:
+            exchanges[0].start_stream(200, [])
+            exchanges[0].write(b"done")
+            exchanges[0].finish_stream()
+        else:
+            exchanges[0].respond(200, b"done")
+
+    loop.call(respond)
+    received = receive(sock)
+    assert b"\r\nConnection: close\r\n" in received
+    assert b"done" in received
+
+
+@pytest.mark.parametrize("is_stopping", [False, True], ids=["accepting", "stopping"])
+def test_a_request_after_a_stream_whose_close_was_not_announced_is_answered(
+    loop, server, exchanges, is_stopping
+):
+    """The connection was closed at the end of the stream, while the next request was on its way."""
+    sock = connect(server)
+    sock.sendall(REQUEST)
+    loop.wait_until(lambda: exchanges)
+    loop.call(lambda: exchanges[0].start_stream(200, []))
+    loop.call(server.begin_stop if is_stopping else server.announce_close)
+    loop.call(lambda: exchanges[0].finish_stream())
+    assert b"Connection: close" not in sock.recv(65536)
+    sock.sendall(REQUEST)
+    loop.wait_until(lambda: len(exchanges) == 2)
+    loop.call(lambda: exchanges[1].respond(503, b"not run"))
+    received = receive(sock)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nConnection: close\r\n" in received
+
+
+def test_a_connection_that_was_just_answered_stays_open_for_its_next_request(
+    loop, server, exchanges
+):
+    """The listening socket is closed seconds after the close is first announced."""
+    sock = connect(server)
+    sock.sendall(REQUEST)
+    loop.wait_until(lambda: exchanges)
+    loop.call(lambda: exchanges[0].start_stream(200, []))
+    loop.call(server.announce_close)
+    loop.call(lambda: exchanges[0].finish_stream())
+    loop.wait_until(lambda: not server.open_exchanges)
+    loop.call(server.begin_stop)
+    sock.sendall(REQUEST)
+    loop.wait_until(lambda: len(exchanges) == 2)
+    loop.call(lambda: exchanges[1].respond(503, b"not run"))
+    assert b"not run" in receive(sock)
+    loop.wait_until(lambda: server.is_drained)
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/app.py
@@ -147,6 +147,7 @@
             return
         self._stopping_at = self.context.now()
         log_event(_LOGGER, "router_stopping", calls=self._http_server.open_exchanges)
+        self._http_server.announce_close()
         self.fleet_task.announce_shutdown()
         self.context.timers.after(self.settings.router.address_ttl_s, self._refuse_new_calls)
 
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/api.py
@@ -100,8 +100,6 @@
 
     def on_request(self, exchange: CallerExchange) -> None:
         """Start to relay a request, or refuse it."""
-        if self._context.is_stopping:
-            exchange.close_after_response()
         request = self._context.dialect.decode_request(exchange.request)
         refusal = request if isinstance(request, Failure) else self._request_refusal()
         if refusal is None and isinstance(request, DecodedRequest):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -256,6 +256,7 @@
         self._stop_requested_at = now()
         self.context.is_stopping = True
         log_event(_LOGGER, "relay_stopping", requests=self.api.active_calls)
+        self._http_server.announce_close()
         self.peers.announce_leaving()
         self.origins.hand_over()
         self.peers.unregister()
