--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -26,6 +26,7 @@
 from .dialect import AttemptInfo, DecodedRequest, ResponseHead
 from .pools import Pool, Pools
 from .response import BufferedResponse, StreamedResponse
+from .retry_claim import RetryClaim
 from .sends import SendResult, Sends
 from .silence import RESUMPTION_WAIT_S, silence_limit_s
 from .trace import RequestTrace
@@ -78,8 +79,9 @@
         self._silence_timer: Timer | None = None
         self._sends = Sends(waiting_request, pool.send_listeners)
         self._is_finished = False
-        # Whether the retry budget for the next retry has already been taken.
-        self._has_reserved_retry = False
+        self._retry_claim = RetryClaim(
+            lambda: pool.retry_budget.take(context.router_count(), now())
+        )
         self._trace = RequestTrace(request.id, request.resumes)
         exchange.on_gone = self._on_caller_left
         remaining_s = max(0.0, waiting_request.deadline - now() - _RESPONSE_MARGIN_S)
@@ -241,7 +243,7 @@
             return
         self.waiting_request.excluded_target_ids.add(attempt.target.id)
         self._expect_next_event()
-        if self._may_retry(end) and self._claim_retry():
+        if self._may_retry(end) and self._retry_claim.claim(self._relayed_request.sent_count):
             self.on_decision(self.pool.admission.resubmit(self.waiting_request, now()))
         else:
             text = f"the send to {attempt.target.id} ended {end}"
@@ -267,20 +269,6 @@
         suspects = self.waiting_request.suspects
         return end is not SendEnd.BROKEN or not self.context.crash_suspects.has_crashed(suspects)
 
-    def _claim_retry(self) -> bool:
-        """Take a retry from the budget, and return whether the budget allowed it.
-
-        A retry that is already reserved is used up first. A request that has not reached any target
-        needs no budget.
-        """
-        if self._relayed_request.sent_count == 0 or self._has_reserved_retry:
-            self._has_reserved_retry = False
-            return True
-        return self._take_retry_budget()
-
-    def _take_retry_budget(self) -> bool:
-        return self.pool.retry_budget.take(self.context.router_count(), now())
-
     def _record_response_start(self) -> None:
         """Record the start of the response, which shows that the prefill is complete."""
         send = self._sends.current
@@ -343,8 +331,7 @@
         if not self.pool.admission.has_place(self.waiting_request, now()):
             excluded.discard(silent.target.id)
             return False
-        self._has_reserved_retry = silent.is_sent and self._take_retry_budget()
-        return self._has_reserved_retry or not silent.is_sent
+        return not silent.is_sent or self._retry_claim.reserve()
 
     def _on_silence_timer(self) -> None:
         if self._attempt is not None and not self._is_finished:
