Go on with a stream whose next target closes without an event

Cause: a stream that its target closes between two events counts as complete, and the last event before the close was that of the target before.

Change: a target that goes on with a stream shows its end by an event, a length or a last chunk; otherwise it has broken off. A stream without an event that ends by its last chunk still ends the caller's stream: the first target may have been cut after the last event.

Evidence: the new test got events 0 and 1 of 6 as a complete stream before ([cut]); [whole] held before and after.

--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -65,6 +65,8 @@
     :ivar is_event_stream: whether the body is a stream of events.
     :ivar headers: headers to relay to the caller.
     :ivar signals: what the target states about itself.
+    :ivar is_delimited: whether a length or a last chunk shows the end of the body, and not only the
+        close of the connection.
     :ivar has_not_run_status: whether callers take the status as a promise that the request was not
         run and never will be.
     """
@@ -75,6 +77,7 @@
     headers: list[tuple[str, str]]
     signals: TargetSignals = field(default_factory=TargetSignals)
     has_not_run_status: bool = False
+    is_delimited: bool = True
 
 
 class Dialect(Protocol):
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/relay_call.py
@@ -220,12 +220,25 @@
                 self._send_response(response, "answered")
         elif not self._event_filter.is_between_events or not relayed_request.head_relayed:
             self.on_attempt_failed(SendEnd.BROKEN, "the stream ended in the middle of an event")
+        elif not self._shows_end():
+            self.on_attempt_failed(SendEnd.BROKEN, "the stream ended without an event")
         else:
             assert self._stream is not None
             self._end_attempt(None, is_failure=False)
             self._stream.finish()
             self._finish("answered")
 
+    def _shows_end(self) -> bool:
+        """Whether a target that has closed a stream has shown that nothing more follows.
+
+        One that goes on with a stream may have nothing left to send, but if it closes the
+        connection after the head, it may as well have broken off.
+        """
+        attempt, send = self._attempt, self._sends.current
+        assert attempt is not None
+        assert attempt.head is not None
+        return attempt.head.is_delimited or (send is not None and send.has_answered)
+
     def on_attempt_failed(self, end: SendEnd, reason: str) -> None:
         """See :class:`AttemptOwner`."""
         attempt, send = self._attempt, self._sends.current
