Withhold older entries of targets after a drill only

Only a risen era can bring back an older entry: the watch says so before it applies the read, and the directory withholds for 2 s from then on. A withheld target that a later read lacks is forgotten.

--- a/packages/parsleyrudder/parsleyrudder/targets.py
+++ b/packages/parsleyrudder/parsleyrudder/targets.py
@@ -34,12 +34,6 @@
         object.__setattr__(self, "lifetime", f"{self.id}/{self.started_ms}")
 
 
-@dataclass(slots=True, frozen=True)
-class _WithheldTarget:
-    target: Target
-    until: float
-
-
 @dataclass(slots=True)
 class TargetDirectory:
     """Known targets by id.
@@ -48,11 +42,11 @@
     read after an outage is therefore retained for a limited time; one that disappears while the
     store is available is removed at once.
 
-    After an outage the store may also hold an older copy until the targets have written their
-    entries again. In that time a lifetime that was known to leave goes on leaving, and one whose
+    A store that has come back from an older copy holds older entries until the targets have written
+    theirs again. In that time a lifetime that was known to leave goes on leaving, and one whose
     entry was removed is withheld.
 
-    :param rewrite_s: time after an outage within which targets write their entries again.
+    :param rewrite_s: time within which targets write their entries again that the store has lost.
     :param removal_memory_s: time for which removals are remembered: the age of the oldest copy that
         the store may come back from.
     """
@@ -61,23 +55,26 @@
     removal_memory_s: float = 30.0
     by_id: dict[str, Target] = field(default_factory=dict)
     _lapsed_until_by_id: dict[str, float] = field(default_factory=dict)
-    _withheld_by_id: dict[str, _WithheldTarget] = field(default_factory=dict)
+    _withheld_by_id: dict[str, Target] = field(default_factory=dict)
+    _withheld_until: float = float("-inf")
     _removed_at_by_lifetime: dict[str, float] = field(default_factory=dict)
 
+    def expect_older_entries(self, now: float) -> None:
+        """Prepare for the entries of an older copy that the store has come back from."""
+        self._withheld_until = now + self.rewrite_s
+
     def replace_all(self, targets: Iterable[Target], after_outage: bool, now: float) -> None:
         """Replace the entries by those of a full read of the store.
 
         :param after_outage: whether the store was unavailable just before this read.
         """
         fresh = {target.id: target for target in targets}
-        self._withheld_by_id = {id: w for id, w in self._withheld_by_id.items() if id in fresh}
-        if after_outage:
-            self._withhold_removed(fresh, now)
-            fresh = {id: self._keep_leaving(target) for id, target in fresh.items()}
-        for id in self._withheld_by_id:
-            del fresh[id]
-        for id in fresh:
+        self._withheld_by_id = {}
+        if now < self._withheld_until:
+            fresh = self._without_older(fresh)
+        for id, target in fresh.items():
             self._lapsed_until_by_id.pop(id, None)
+            self._removed_at_by_lifetime.pop(target.lifetime, None)
         for id, target in self.by_id.items():
             if id in fresh:
                 continue
@@ -93,10 +90,18 @@
         }
         self.expire(now)
 
-    def _withhold_removed(self, fresh: dict[str, Target], now: float) -> None:
-        for id, target in fresh.items():
-            if target.lifetime in self._removed_at_by_lifetime and id not in self._withheld_by_id:
-                self._withheld_by_id[id] = _WithheldTarget(target, now + self.rewrite_s)
+    def _without_older(self, fresh: dict[str, Target]) -> dict[str, Target]:
+        """Withhold the lifetimes whose entries were removed, and keep leaving those that were."""
+        self._withheld_by_id = {
+            id: target
+            for id, target in fresh.items()
+            if target.lifetime in self._removed_at_by_lifetime
+        }
+        return {
+            id: self._keep_leaving(target)
+            for id, target in fresh.items()
+            if id not in self._withheld_by_id
+        }
 
     def _keep_leaving(self, target: Target) -> Target:
         """Return the target as read, but leaving if it was known to leave in the same lifetime."""
@@ -124,8 +129,9 @@
         for id in [id for id, until in self._lapsed_until_by_id.items() if until <= now]:
             del self._lapsed_until_by_id[id]
             self.by_id.pop(id, None)
-        for id in [id for id, withheld in self._withheld_by_id.items() if withheld.until <= now]:
-            self.put(self._withheld_by_id[id].target)
+        if now >= self._withheld_until:
+            for target in list(self._withheld_by_id.values()):
+                self.put(target)
         self._removed_at_by_lifetime = {
             lifetime: at
             for lifetime, at in self._removed_at_by_lifetime.items()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/app.py
@@ -325,6 +325,7 @@
     def _on_store_restored(self) -> None:
         """Write again what the store may have lost, as it has come back from an older copy."""
         self.context.metrics.count("store_restored")
+        self.context.targets.expect_older_entries(now())
         self.peers.on_store_restored()
         self._crash_reports.on_store_restored()
         self.origins.on_store_restored()
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/table_watch.py
@@ -93,8 +93,8 @@
     :param on_read: called with each full read, and whether the store was unreachable before it.
     :param on_change: called with each page of changes.
     :param on_confirmed: called with a time at which the router's copy was known to be up to date.
-    :param on_restored: called after the first full read since the store came back from an older
-        copy, which may lack what this fleet had written.
+    :param on_restored: called before the first full read since the store came back from an older
+        copy is applied; the copy may lack what this fleet had written.
     """
 
     def __init__(
@@ -241,11 +241,11 @@
                 _LOGGER, "store_back", table=self._table, revision=page.revision, era=page.era
             )
         self._copy.apply_read(page, sent_at)
-        # The entries in an older copy may have lapsed or be out of date, as after an outage.
-        self._on_read(page, was_down or is_restored)
-        self._on_confirmed(self._copy.confirmed_at)
         if is_restored:
             self._on_restored()
+        # An older copy may lack entries that are about to be written again, as after an outage.
+        self._on_read(page, was_down or is_restored)
+        self._on_confirmed(self._copy.confirmed_at)
         return True
 
     def _on_changes_done(self, page: FeedPage | TableError, after: int, sent_at: float) -> None:
