Let the test of a lost registration fail without its fix

It now begins with the regular read pending: without the fix the next read is 17 s away, and the bound is 1.2 s.

No code that runs is changed.

--- a/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_endless_bytes.py
+++ b/packages/parsleyrudder_adapters/parsleyrudder_adapters/tests/test_endless_bytes.py
@@ -111,7 +111,7 @@
 
 
 def test_interim_responses_without_end_end_the_exchange_early(loop, client):
-    """Each costs as much as a request, so that 256 KiB of them made a router refuse requests."""
+    """Each costs as much as a response, and 10,000 of them were handled in one exchange."""
     server = ScriptedServer(respond(b"HTTP/1.1 100 Continue\r\n\r\n" * 500, wait=True))
     listener = Listener()
     loop.call(lambda: client.send(server.address, HttpRequest("GET", "/"), listener))
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/dialect.py
@@ -65,10 +65,10 @@
     :ivar is_event_stream: whether the body is a stream of events.
     :ivar headers: headers to relay to the caller.
     :ivar signals: what the target states about itself.
-    :ivar is_delimited: whether a length or a last chunk shows the end of the body, and not only the
-        close of the connection.
     :ivar has_not_run_status: whether callers take the status as a promise that the request was not
         run and never will be.
+    :ivar is_delimited: whether a length or a last chunk shows the end of the body, and not only the
+        close of the connection.
     """
 
     status: int
--- a/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
+++ b/packages/parsleyrudder_daemon/parsleyrudder_daemon/relay/tests/test_peers_task.py
@@ -27,7 +27,7 @@
         self.pending = []
 
     def after(self, delay_s, callback):
-        timer = SimpleNamespace(callback=callback)
+        timer = SimpleNamespace(callback=callback, delay_s=delay_s)
         timer.cancel = lambda: self.pending.remove(timer)
         self.pending.append(timer)
         return timer
@@ -182,8 +182,13 @@
     task, context = make(monkeypatch, routers=2)
     store: Any = task._feed
     task._register()
-    store.puts = 0
+    store.rows = [router_row("me", incarnation=1)]
+    task._read_rows()
+    [timer] = context.timers.pending
+    assert timer.delay_s >= 16.0
+    store.rows, store.puts = [], 0
     task.on_store_restored()
     [timer] = context.timers.pending
+    assert timer.delay_s <= 1.2
     timer.callback()
     assert store.puts == 1
